--- /dev/null
+++ b/bid/course.go
@@ -0,0 +1,207 @@
+package bid
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+type End uint8
+
+const (
+	Whole End = iota + 1
+	Refused
+	Broken
+	Unreached
+	Hung
+	Withheld
+)
+
+func (m *Market) current(id int, goID uint64) (a *Ask) {
+	a = m.Asks.get(id)
+	if a == nil || a.Go != goID || a.State == Waiting {
+		return nil
+	}
+	return a
+}
+
+func (m *Market) Leave(now time.Duration, id int, goID uint64) {
+	a := m.current(id, goID)
+	if a == nil || a.State != Placed {
+		m.do(Act{Kind: Recall, Ask: id, Go: goID, Rep: -1})
+		return
+	}
+	o := &m.Offers[a.Offer]
+	r := &m.Reps[a.Rep]
+	if m.stalled(now) == "" && r.fit(now) && (!a.Second || o.second.spend()) {
+		a.State, a.Sent = Sent, now
+		if a.Second {
+			m.N.Seconds++
+			o.Again++
+		} else {
+			m.N.Firsts++
+			o.Firsts++
+			o.second.earn()
+		}
+		m.do(Act{Kind: Send, Ask: id, Go: goID, Rep: a.Rep})
+		return
+	}
+	m.N.Rechecked++
+	m.do(Act{Kind: Recall, Ask: id, Go: goID, Rep: a.Rep})
+	m.release(now, a)
+	if a.Second && r.fit(now) {
+		m.N.SecondsSpared++
+		o.Spared++
+		m.deny(now, id, "second goes are spent", 2*time.Second)
+		return
+	}
+	m.again(id, a)
+}
+
+func (m *Market) again(id int, a *Ask) {
+	a.State, a.Rep, a.Prefill, a.Go = Waiting, -1, -1, 0
+	m.waiting = append(m.waiting, id)
+}
+
+func (m *Market) release(now time.Duration, a *Ask) {
+	m.Reps[a.Rep].ended(now, a.Began)
+	m.Index.Settle(a.Go)
+}
+
+func (m *Market) Head(now time.Duration, id int, goID uint64) {
+	a := m.current(id, goID)
+	if a == nil || a.Confirmed {
+		return
+	}
+	a.Confirmed = true
+	took, ok := m.Index.Confirm(now, m.keeper(a), a.Go)
+	if now <= a.Deadline {
+		m.N.FirstTokenOK++
+	}
+	r := &m.Reps[a.Rep]
+	r.breaks = 0
+	if !ok {
+		return
+	}
+	m.learn(a, r, took)
+}
+
+func (m *Market) Begin(id int, goID uint64) {
+	if a := m.current(id, goID); a != nil {
+		a.State = Begun
+	}
+}
+
+func (m *Market) learn(a *Ask, r *Replica, took time.Duration) {
+	o := &m.Offers[a.Offer]
+	miss := o.Base + time.Duration(a.Tail+hint.Tokens(a.Parts))*o.PerToken
+	hit := miss - time.Duration(a.Conf)*o.PerToken
+	if a.Conf > 0 && a.Pred == 0 && hit < miss/2 && float64(took) > 0.8*float64(miss)*r.factor && float64(took) > 1.5*float64(a.Est) {
+		m.Index.Evicted(m.keeper(a), a.Parts)
+		return
+	}
+	r.factor *= 1 + 0.05*(float64(took)/float64(max(a.Est, time.Millisecond))-1)
+	r.factor = min(max(r.factor, 0.25), 4)
+}
+
+func (m *Market) Finish(now time.Duration, id int, goID uint64, end End) {
+	a := m.current(id, goID)
+	if a == nil {
+		return
+	}
+	if end == Whole {
+		m.Head(now, id, goID)
+	}
+	m.finish(now, id, a, end)
+}
+
+func (m *Market) Hangup(now time.Duration, id int) {
+	a := m.Asks.get(id)
+	if a == nil {
+		return
+	}
+	if a.State == Waiting {
+		for i, w := range m.waiting {
+			if w == id {
+				m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
+				break
+			}
+		}
+		m.Asks.drop(id)
+		return
+	}
+	m.do(Act{Kind: Cancel, Ask: id, Go: a.Go, Rep: a.Rep, Why: "agent hung up"})
+	m.finish(now, id, a, Hung)
+}
+
+func (m *Market) finish(now time.Duration, id int, a *Ask, end End) {
+	o := &m.Offers[a.Offer]
+	k := o.Kinds[a.Kind]
+	r := &m.Reps[a.Rep]
+	was, goID, rep := a.State, a.Go, a.Rep
+	m.release(now, a)
+	switch end {
+	case Whole:
+		m.N.Dones++
+		o.hold += (now - a.Sent - o.hold) / 16
+		m.do(Act{Kind: Done, Ask: id, Go: goID, Rep: rep})
+		m.Asks.drop(id)
+		return
+	case Hung:
+		m.Asks.drop(id)
+		return
+	case Withheld:
+		m.do(Act{Kind: Deny, Ask: id, Go: goID, Rep: rep, Why: "request had its one go", Repeat: true})
+		m.Asks.drop(id)
+		return
+	case Refused:
+		m.N.Refused++
+		r.Backoff = max(r.Backoff, now+200*time.Millisecond)
+	case Unreached:
+		m.N.Unreached++
+		m.ail(now, r)
+	case Broken:
+		m.ail(now, r)
+	}
+	if was == Begun {
+		m.N.Partials++
+		m.do(Act{Kind: Partial, Ask: id, Go: goID, Rep: rep})
+		m.Asks.drop(id)
+		return
+	}
+	if was == Placed {
+		a.Second = true
+		m.again(id, a)
+		return
+	}
+	if k.Repeatable && o.second.now >= 1 && now < a.Deadline {
+		a.Second = true
+		m.again(id, a)
+		return
+	}
+	if k.Repeatable && end == Refused {
+		m.N.SecondsSpared++
+		m.deny(now, id, "replica is full", time.Second)
+		return
+	}
+	m.N.Unknowns++
+	after := time.Duration(0)
+	if k.Repeatable {
+		after = 2 * time.Second
+	}
+	m.do(Act{Kind: Unknown, Ask: id, Go: goID, Rep: rep, Why: "replica broke down", After: after})
+	m.Asks.drop(id)
+}
+
+func (m *Market) ail(now time.Duration, r *Replica) {
+	r.breaks = min(r.breaks+1, 5)
+	r.Backoff = max(r.Backoff, now+time.Duration(r.breaks*r.breaks)*150*time.Millisecond)
+}
+
+func (m *Market) Rep(id int) (rep int) {
+	a := m.Asks.get(id)
+	if a == nil {
+		return -1
+	}
+	return a.Rep
+}
--- /dev/null
+++ b/bid/market.go
@@ -0,0 +1,234 @@
+package bid
+
+import (
+	"math"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+type Config struct {
+	Self       string
+	Backlog    int
+	Feed       time.Duration
+	Silence    time.Duration
+	PredWeight float64
+	RoundRobin bool
+	Index      hint.Config
+}
+
+func Defaults(self string) (c Config) {
+	return Config{Self: self, Backlog: 256, Feed: time.Second, Silence: 8 * time.Second, PredWeight: 0.7, Index: hint.Defaults()}
+}
+
+type ActKind uint8
+
+const (
+	Place ActKind = iota + 1
+	Send
+	Recall
+	Deny
+	Cancel
+	Unknown
+	Partial
+	Done
+)
+
+type Act struct {
+	Kind  ActKind
+	Ask   int
+	Go    uint64
+	Rep   int
+	Pre   int
+	Why   string
+	After time.Duration
+	Late  bool
+	Conf  int
+	Pred  int
+
+	Once   bool
+	Repeat bool
+}
+
+type Counters struct {
+	Arrived, Placed, Firsts, Seconds, SecondsSpared     uint64
+	DeniedEarly, DeniedLate, Unknowns, Partials, Dones  uint64
+	ConfirmedTokens, PredictedTokens, PrefixTokens      uint64
+	Rechecked, Silent, Unreached, Refused, FirstTokenOK uint64
+}
+
+type Market struct {
+	cfg     Config
+	Asks    Asks
+	Offers  []Offer
+	Reps    []Replica
+	Index   *hint.Index
+	routers []string
+	waiting []int
+	goSeq   uint64
+	fed     time.Duration
+	why     string
+	turn    int
+	acts    []Act
+	N       Counters
+}
+
+func New(cfg Config) (m *Market) {
+	return &Market{cfg: cfg, Index: hint.New(cfg.Index), why: "no picture yet"}
+}
+
+func (m *Market) AddReplica(r Replica, keep int) (id int) {
+	r.factor = 1
+	m.Reps = append(m.Reps, r)
+	m.Index.Add(keep)
+	return len(m.Reps) - 1
+}
+
+func (m *Market) AddOffer(o Offer) (id int) {
+	m.Offers = append(m.Offers, o)
+	return len(m.Offers) - 1
+}
+
+func (m *Market) Retune() {
+	for i := range m.Offers {
+		o := &m.Offers[i]
+		o.second.limit(o.SecondShare, float64(Share("second/"+o.Name, o.SecondPlus, m.routers, m.cfg.Self)))
+	}
+	for i := range m.Reps {
+		m.Reps[i].eff = -1
+	}
+}
+
+func (m *Market) SetRouters(routers []string) {
+	m.routers = routers
+	m.Retune()
+}
+
+func (m *Market) SetSelf(self string) {
+	m.cfg.Self = self
+	m.Retune()
+}
+
+func (m *Market) Feed(now time.Duration, why string) { m.fed, m.why = now, why }
+
+func (m *Market) stalled(now time.Duration) (why string) {
+	if m.why != "" {
+		return m.why
+	}
+	if now-m.fed > m.cfg.Feed {
+		return "picture is stale"
+	}
+	return ""
+}
+
+func (m *Market) Stalled(now time.Duration) (why string) { return m.stalled(now) }
+
+func (m *Market) Cold(now time.Duration, rep int, age time.Duration) {
+	r := &m.Reps[rep]
+	r.ColdAt, r.Warm, r.eff, r.factor = now-age, false, -1, 1
+}
+
+func (m *Market) Report(asOf time.Duration, rep, usage int) { m.Reps[rep].report(asOf, usage) }
+
+func (m *Market) Arrive(now time.Duration, a Ask) (id int) {
+	k := m.Offers[a.Offer].Kinds[a.Kind]
+	a.At, a.Deadline, a.State, a.Rep, a.Prefill = now, now+k.Bound, Waiting, -1, -1
+	id = m.Asks.add(a)
+	m.N.Arrived++
+	m.waiting = append(m.waiting, id)
+	return id
+}
+
+func (m *Market) Tick(now time.Duration) (acts []Act) {
+	m.Index.Tick(now)
+	m.silence(now)
+	m.match(now)
+	acts, m.acts = m.acts, nil
+	return acts
+}
+
+func (m *Market) do(a Act) { m.acts = append(m.acts, a) }
+
+func (m *Market) free(now time.Duration, rep int) (n int) {
+	r := &m.Reps[rep]
+	o := &m.Offers[r.Offer]
+	cold := r.coldness(now, o.ColdRamp)
+	eff := r.Room
+	if cold > 0 {
+		low := min(o.ColdRoom, r.Room)
+		eff = low + int(float64(r.Room-low)*(1-cold))
+	}
+	if eff != r.eff {
+		r.eff = eff
+		r.share = Share("room/"+r.Name, eff, m.routers, m.cfg.Self)
+	}
+	n = r.share - r.Own
+	if cold > 0 {
+		n = min(n, r.share-r.coldStarts(now))
+	}
+	return n
+}
+
+func (m *Market) est(now time.Duration, a *Ask, rep, conf, pred int) (t time.Duration) {
+	r := &m.Reps[rep]
+	o := &m.Offers[r.Offer]
+	uncached := float64(a.Tail+hint.Tokens(a.Parts)) - float64(conf) - m.cfg.PredWeight*float64(pred)
+	t = o.Base + time.Duration(uncached*float64(o.PerToken))
+	return time.Duration(float64(t) * r.factor * (1 + r.fullness()) * (1 + r.coldness(now, o.ColdRamp)))
+}
+
+const hopeless = 1e3
+
+type choice struct {
+	rep, conf, pred int
+	est             time.Duration
+	cost            float64
+}
+
+func (m *Market) best(now time.Duration, a *Ask) (c choice, any bool) {
+	o := &m.Offers[a.Offer]
+	c = choice{rep: -1, cost: math.Inf(1), est: time.Duration(math.MaxInt64)}
+	if m.cfg.RoundRobin {
+		return m.next(now, a, o)
+	}
+	for _, id := range o.Reps {
+		r := &m.Reps[id]
+		if !r.fit(now) || (o.Split && r.Role == "prefill") {
+			continue
+		}
+		any = true
+		conf, pred := m.Index.Look(now, id, a.Parts)
+		est := m.est(now, a, id, conf, pred)
+		if m.free(now, id) <= 0 {
+			continue
+		}
+		cost := float64(est)/float64(o.Kinds[a.Kind].Bound) + 0.5*r.fullness()
+		if !r.Near {
+			cost += o.CrossCost
+		}
+		if now+est > a.Deadline {
+			cost += hopeless
+		}
+		if cost < c.cost {
+			c = choice{rep: id, conf: conf, pred: pred, est: est, cost: cost}
+		}
+	}
+	return c, any
+}
+
+func (m *Market) next(now time.Duration, a *Ask, o *Offer) (c choice, any bool) {
+	c = choice{rep: -1}
+	for i := range o.Reps {
+		id := o.Reps[(m.turn+i)%len(o.Reps)]
+		if !m.Reps[id].fit(now) {
+			continue
+		}
+		any = true
+		if m.free(now, id) > 0 {
+			m.turn += i + 1
+			conf, pred := m.Index.Look(now, id, a.Parts)
+			return choice{rep: id, conf: conf, pred: pred, est: m.est(now, a, id, 0, 0)}, true
+		}
+	}
+	return c, any
+}
--- /dev/null
+++ b/bid/match.go
@@ -0,0 +1,146 @@
+package bid
+
+import (
+	"sort"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+func (m *Market) match(now time.Duration) {
+	if len(m.waiting) == 0 {
+		return
+	}
+	if why := m.stalled(now); why != "" {
+		for _, id := range m.waiting {
+			m.deny(now, id, why, time.Second)
+		}
+		m.waiting = m.waiting[:0]
+		return
+	}
+	m.price(now)
+	capacity := m.capacity(now)
+	kept := m.waiting[:0]
+	ahead := make([]int, len(m.Offers))
+	for _, id := range m.waiting {
+		a := m.Asks.get(id)
+		o := &m.Offers[a.Offer]
+		c, any := m.best(now, a)
+		if c.rep >= 0 && now+c.est <= a.Deadline {
+			m.place(now, id, a, c)
+			continue
+		}
+		if c.rep >= 0 && a.Gos == 0 {
+			m.deny(now, id, "cannot start in time", time.Second)
+			continue
+		}
+		ahead[a.Offer]++
+		wait := time.Duration(float64(ahead[a.Offer]) * float64(o.hold) / float64(max(capacity[a.Offer], 1)))
+		if !any {
+			wait = 0
+		}
+		least := o.Base + time.Duration(a.Tail)*o.PerToken
+		switch {
+		case now+least+wait > a.Deadline && any:
+			m.deny(now, id, "backlog is too long", wait)
+		case now+least > a.Deadline:
+			m.deny(now, id, "no replica in time", 2*time.Second)
+		case len(kept) >= m.cfg.Backlog:
+			m.deny(now, id, "backlog is full", wait)
+		default:
+			kept = append(kept, id)
+		}
+	}
+	m.waiting = kept
+}
+
+func (m *Market) price(now time.Duration) {
+	for _, id := range m.waiting {
+		a := m.Asks.get(id)
+		k := m.Offers[a.Offer].Kinds[a.Kind]
+		slack := max(float64(a.Deadline-now)/float64(k.Bound), 0.05)
+		a.price = k.Value * k.Urgency / slack
+	}
+	sort.SliceStable(m.waiting, func(i, j int) bool {
+		return m.Asks.rows[m.waiting[i]].price > m.Asks.rows[m.waiting[j]].price
+	})
+}
+
+func (m *Market) capacity(now time.Duration) (rooms []int) {
+	rooms = make([]int, len(m.Offers))
+	for i := range m.Reps {
+		if r := &m.Reps[i]; r.fit(now) {
+			m.free(now, i)
+			rooms[r.Offer] += r.share
+		}
+	}
+	return rooms
+}
+
+func (m *Market) place(now time.Duration, id int, a *Ask, c choice) {
+	o := &m.Offers[a.Offer]
+	m.goSeq++
+	a.State, a.Go, a.Rep, a.Prefill, a.Began, a.Sent, a.Confirmed = Placed, m.goSeq, c.rep, -1, now, now, false
+	a.Conf, a.Pred, a.Est = c.conf, c.pred, c.est
+	a.Gos++
+	if o.Split {
+		a.Prefill, a.Conf, a.Pred = m.prefill(now, a, o)
+	}
+	m.Reps[c.rep].began(now)
+	m.Index.Commit(now, m.keeper(a), a.Go, a.Parts)
+	m.N.Placed++
+	m.N.ConfirmedTokens += uint64(a.Conf)
+	m.N.PredictedTokens += uint64(a.Pred)
+	m.N.PrefixTokens += uint64(hint.Tokens(a.Parts))
+	m.do(Act{Kind: Place, Ask: id, Go: a.Go, Rep: a.Rep, Pre: a.Prefill, Conf: a.Conf, Pred: a.Pred, Once: !o.Kinds[a.Kind].Repeatable})
+}
+
+func (m *Market) keeper(a *Ask) (rep int) {
+	if a.Prefill >= 0 {
+		return a.Prefill
+	}
+	return a.Rep
+}
+
+func (m *Market) prefill(now time.Duration, a *Ask, o *Offer) (pre, conf, pred int) {
+	pre = -1
+	var low time.Duration
+	for _, id := range o.Reps {
+		if r := &m.Reps[id]; r.Role != "prefill" || !r.fit(now) {
+			continue
+		}
+		cf, pd := m.Index.Look(now, id, a.Parts)
+		if est := m.est(now, a, id, cf, pd); pre < 0 || est < low {
+			pre, conf, pred, low = id, cf, pd, est
+		}
+	}
+	return pre, conf, pred
+}
+
+func (m *Market) deny(now time.Duration, id int, why string, wait time.Duration) {
+	a := m.Asks.get(id)
+	late := a.Gos > 0 || now-a.At > m.Offers[a.Offer].Kinds[a.Kind].Bound/4
+	if late {
+		m.N.DeniedLate++
+	} else {
+		m.N.DeniedEarly++
+	}
+	after := max((wait + time.Second - 1).Truncate(time.Second), time.Second)
+	m.do(Act{Kind: Deny, Ask: id, Why: why, After: after, Late: late, Rep: -1})
+	m.Asks.drop(id)
+}
+
+func (m *Market) silence(now time.Duration) {
+	for id := range m.Asks.rows {
+		a := &m.Asks.rows[id]
+		if !a.live || a.State == Waiting || a.Confirmed {
+			continue
+		}
+		if now-a.Sent < max(m.cfg.Silence, 2*m.Offers[a.Offer].Kinds[a.Kind].Bound) {
+			continue
+		}
+		m.N.Silent++
+		m.do(Act{Kind: Cancel, Ask: id, Go: a.Go, Rep: a.Rep, Why: "replica is silent"})
+		m.finish(now, id, a, Broken)
+	}
+}
--- /dev/null
+++ b/bid/table.go
@@ -0,0 +1,189 @@
+package bid
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+type State uint8
+
+const (
+	Waiting State = iota + 1
+	Placed
+	Sent
+	Begun
+)
+
+type Ask struct {
+	Offer, Kind int
+	Parts       []hint.Part
+	Tail        int
+	At          time.Duration
+	Deadline    time.Duration
+
+	State     State
+	Go        uint64
+	Rep       int
+	Prefill   int
+	Gos       int
+	Second    bool
+	Began     time.Duration
+	Sent      time.Duration
+	Confirmed bool
+	Conf      int
+	Pred      int
+	Est       time.Duration
+	live      bool
+	price     float64
+}
+
+type Asks struct {
+	rows []Ask
+	free []int
+	n    int
+}
+
+func (t *Asks) add(a Ask) (id int) {
+	a.live = true
+	t.n++
+	if n := len(t.free); n > 0 {
+		id = t.free[n-1]
+		t.free = t.free[:n-1]
+		t.rows[id] = a
+		return id
+	}
+	t.rows = append(t.rows, a)
+	return len(t.rows) - 1
+}
+
+func (t *Asks) drop(id int) {
+	t.rows[id] = Ask{}
+	t.free = append(t.free, id)
+	t.n--
+}
+
+func (t *Asks) get(id int) (a *Ask) {
+	if id < 0 || id >= len(t.rows) || !t.rows[id].live {
+		return nil
+	}
+	return &t.rows[id]
+}
+
+type Kind struct {
+	Value, Urgency float64
+	Bound          time.Duration
+	Repeatable     bool
+}
+
+type Offer struct {
+	Name           string
+	Kinds          []Kind
+	Reps           []int
+	ColdRoom       int
+	ColdRamp       time.Duration
+	Base, PerToken time.Duration
+	CrossCost      float64
+	SecondShare    float64
+	SecondPlus     int
+	Split          bool
+
+	second purse
+	hold   time.Duration
+	Firsts uint64
+	Again  uint64
+	Spared uint64
+}
+
+type Replica struct {
+	Name    string
+	Offer   int
+	Near    bool
+	Role    string
+	Room    int
+	Listed  bool
+	Emptied bool
+	Leaving bool
+	Up      bool
+
+	ColdAt    time.Duration
+	Warm      bool
+	Backoff   time.Duration
+	Usage     int
+	UsageAsOf time.Duration
+	Own       int
+	starts    []time.Duration
+	ends      []time.Duration
+	factor    float64
+	share     int
+	eff       int
+	breaks    int
+}
+
+func (r *Replica) fit(now time.Duration) (yes bool) {
+	return r.Listed && !r.Emptied && !r.Leaving && r.Up && now >= r.Backoff
+}
+
+func after(ts []time.Duration, t time.Duration) (kept []time.Duration) {
+	i := 0
+	for i < len(ts) && ts[i] <= t {
+		i++
+	}
+	return ts[i:]
+}
+
+func (r *Replica) report(asOf time.Duration, usage int) {
+	if asOf < r.UsageAsOf {
+		return
+	}
+	r.Usage, r.UsageAsOf = usage, asOf
+	r.starts, r.ends = after(r.starts, asOf), after(r.ends, asOf)
+}
+
+func (r *Replica) load() (n int) {
+	return max(r.Own, r.Usage+len(r.starts)-len(r.ends))
+}
+
+func (r *Replica) fullness() (f float64) {
+	return float64(r.load()) / float64(max(r.Room, 1))
+}
+
+func (r *Replica) coldness(now, ramp time.Duration) (c float64) {
+	if r.Warm || ramp <= 0 || now-r.ColdAt >= ramp {
+		return 0
+	}
+	return 1 - float64(now-r.ColdAt)/float64(ramp)
+}
+
+func (r *Replica) coldStarts(now time.Duration) (n int) {
+	for _, t := range r.starts {
+		if now-t < time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+const keptStarts = 4096
+
+func (r *Replica) began(now time.Duration) {
+	r.Own++
+	r.starts = append(r.starts, now)
+	if len(r.starts) > keptStarts {
+		r.starts = r.starts[1:]
+	}
+}
+
+func (r *Replica) ended(now, began time.Duration) {
+	r.Own--
+	if began <= r.UsageAsOf {
+		r.ends = append(r.ends, now)
+		return
+	}
+	for i, t := range r.starts {
+		if t == began {
+			r.starts = append(append([]time.Duration(nil), r.starts[:i]...), r.starts[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/charter/desk.go
@@ -0,0 +1,129 @@
+package charter
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/gravitational/trace"
+)
+
+type Desk struct {
+	path  string
+	t     tree
+	used  map[string]bool
+	flaws *[]Flaw
+}
+
+func Open(raw []byte) (d *Desk, err error) {
+	t, err := parse(raw)
+	if err != nil {
+		return nil, err
+	}
+	return &Desk{path: "$", t: t, used: map[string]bool{}, flaws: &[]Flaw{}}, nil
+}
+
+func (d *Desk) Flaw(path, val, bound string) {
+	*d.flaws = append(*d.flaws, Flaw{Path: path, Value: val, Bound: bound})
+}
+
+func (d *Desk) At(key string) (path string) { return d.path + "." + key }
+
+func (d *Desk) find(key string) (t tree, ok bool) {
+	d.used[key] = true
+	for i, k := range d.t.keys {
+		if k == key {
+			return d.t.kids[i], true
+		}
+	}
+	return tree{}, false
+}
+
+func (d *Desk) Str(key string, need bool, max int) (s string) {
+	t, ok := d.find(key)
+	if !ok && !need {
+		return ""
+	}
+	if !ok || t.kind != 's' || len(t.str) > max || (need && t.str == "") {
+		d.Flaw(d.At(key), t.show(), fmt.Sprintf("a string of 1 to %d bytes", max))
+		return ""
+	}
+	return t.str
+}
+
+func (d *Desk) Num(key string, def, min, max float64) (n float64) {
+	t, ok := d.find(key)
+	if !ok {
+		return def
+	}
+	n, err := strconv.ParseFloat(t.str, 64)
+	if t.kind != 'n' || err != nil || n < min || n > max {
+		d.Flaw(d.At(key), t.show(), fmt.Sprintf("a number from %g to %g", min, max))
+		return def
+	}
+	return n
+}
+
+func (d *Desk) Int(key string, def, min, max int) (n int) {
+	f := d.Num(key, float64(def), float64(min), float64(max))
+	if f != float64(int(f)) {
+		d.Flaw(d.At(key), fmt.Sprint(f), "a whole number")
+		return def
+	}
+	return int(f)
+}
+
+func (d *Desk) Bool(key string, def bool) (b bool) {
+	t, ok := d.find(key)
+	if !ok {
+		return def
+	}
+	if t.kind != 'b' {
+		d.Flaw(d.At(key), t.show(), "true or false")
+	}
+	return t.str == "true"
+}
+
+func (d *Desk) Sub(key string) (s *Desk) {
+	t, ok := d.find(key)
+	if ok && t.kind != 'o' {
+		d.Flaw(d.At(key), t.show(), "an object")
+	}
+	return &Desk{path: d.At(key), t: t, used: map[string]bool{}, flaws: d.flaws}
+}
+
+func (d *Desk) List(key string, min, max int) (subs []*Desk) {
+	t, _ := d.find(key)
+	if len(t.kids) < min || len(t.kids) > max || (t.kind != 'a' && t.kind != 0) {
+		d.Flaw(d.At(key), t.show(), fmt.Sprintf("a list of %d to %d", min, max))
+		return nil
+	}
+	for i, kid := range t.kids {
+		subs = append(subs, &Desk{path: fmt.Sprintf("%s[%d]", d.At(key), i), t: kid, used: map[string]bool{}, flaws: d.flaws})
+	}
+	return subs
+}
+
+func (d *Desk) Text(max int) (s string) {
+	if d.t.kind != 's' || d.t.str == "" || len(d.t.str) > max {
+		d.Flaw(d.path, d.t.show(), fmt.Sprintf("a string of 1 to %d bytes", max))
+	}
+	return d.t.str
+}
+
+func (d *Desk) Shut() {
+	if d.t.kind != 'o' && d.t.kind != 0 {
+		d.Flaw(d.path, d.t.show(), "an object")
+	}
+	for _, k := range d.t.keys {
+		if !d.used[k] {
+			d.Flaw(d.At(k), "unknown", "a known field")
+		}
+	}
+}
+
+func (d *Desk) Err() (err error) {
+	if len(*d.flaws) == 0 {
+		return nil
+	}
+	return trace.Wrap(&BadError{Flaws: *d.flaws})
+}
--- /dev/null
+++ b/cmd/mallowbridge/daemon.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+	"github.com/uptrace/bunrouter"
+	"gopkg.in/tomb.v2"
+
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/gate"
+	"github.com/mallowbridge/mallowbridge/hearth"
+)
+
+func daemons(app *kingpin.Application, cmds map[string]command) {
+	for _, r := range [][2]string{
+		{"core", "Run a node with a disk: it may vote on the configuration, and routes too."},
+		{"edge", "Run a node without a disk: it routes."},
+	} {
+		role := r[0]
+		c := app.Command(role, r[1])
+		var s hearth.Settings
+		file := c.Flag("settings", "Settings file (JSON); flags go on top of it.").Short('s').String()
+		c.Flag("name", "Name of this node, unique in the fleet.").StringVar(&s.Name)
+		c.Flag("listen", "IP:port for the other nodes.").StringVar(&s.Listen)
+		c.Flag("http", "IP:port for user agents and operators.").StringVar(&s.HTTP)
+		c.Flag("domain", "Domain this node is in.").StringVar(&s.Domain)
+		c.Flag("seed", "IP:port of another node; give up to three.").StringsVar(&s.Seeds)
+		if role == "core" {
+			c.Flag("data", "Data folder.").StringVar(&s.Data)
+		}
+		c.Flag("max-body", "Longest request body in bytes (1048576).").IntVar(&s.MaxBody)
+		c.Flag("max-streams", "Most requests at once (1024).").IntVar(&s.MaxStreams)
+		c.Flag("backlog", "Most requests that wait for room (256).").IntVar(&s.Backlog)
+		c.Flag("drain-ms", "Longest wait for running streams at a stop (10000).").IntVar(&s.DrainMs)
+		cmds[role] = func(_ io.Reader, out io.Writer) error {
+			s.Role = role
+			full, err := merge(*file, s)
+			if err != nil {
+				return err
+			}
+			return serve(full)
+		}
+	}
+}
+
+func merge(file string, flags hearth.Settings) (s hearth.Settings, err error) {
+	if file != "" {
+		if s, err = hearth.ReadSettings(file); err != nil {
+			return s, err
+		}
+	}
+	s.Role = flags.Role
+	for _, f := range []struct{ to, from *string }{
+		{&s.Name, &flags.Name}, {&s.Listen, &flags.Listen}, {&s.HTTP, &flags.HTTP}, {&s.Domain, &flags.Domain}, {&s.Data, &flags.Data},
+	} {
+		if *f.from != "" {
+			*f.to = *f.from
+		}
+	}
+	for _, f := range []struct{ to, from *int }{
+		{&s.MaxBody, &flags.MaxBody}, {&s.MaxStreams, &flags.MaxStreams}, {&s.Backlog, &flags.Backlog}, {&s.DrainMs, &flags.DrainMs},
+	} {
+		if *f.from != 0 {
+			*f.to = *f.from
+		}
+	}
+	if len(flags.Seeds) > 0 {
+		s.Seeds = flags.Seeds
+	}
+	return hearth.Check(s)
+}
+
+func serve(s hearth.Settings) (err error) {
+	lg := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
+	lg.Context = log.NewContext(nil).Str("node", s.Name).Value()
+	t := &tomb.Tomb{}
+	h, err := hearth.Start(t, s, lg)
+	if err != nil {
+		t.Kill(nil)
+		return err
+	}
+	g := gate.New(h.Desk, func(request string) (first bool) {
+		a := h.Call(crux.Witness{Request: request})
+		return a.Err != nil || a.First
+	}, gate.Bounds(s.MaxBody, s.MaxStreams))
+	ops := &gate.Ops{C: h, G: g, Clock: hearth.Clock, Extra: func() map[string]uint64 {
+		n := &h.Net.N
+		return map[string]uint64{
+			"wire.sent": n.Sent.Load(), "wire.bytes": n.Bytes.Load(), "wire.dropped": n.Dropped.Load(),
+			"wire.unreadable": n.Unreadable.Load(), "wire.dials": n.Dials.Load(),
+		}
+	}}
+	routes := bunrouter.New()
+	ops.Routes(routes)
+	lis, err := net.Listen("tcp", s.HTTP)
+	if err != nil {
+		t.Kill(nil)
+		return trace.ConvertSystemError(err)
+	}
+	srv := &http.Server{
+		Handler: routes, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10,
+	}
+	t.Go(func() error { return served(srv.Serve(lis)) })
+	lg.Info().Str("listen", s.Listen).Str("http", s.HTTP).Str("domain", s.Domain).Msg("started")
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-stop:
+		lg.Info().Msg("draining")
+		drain(h, g, srv, stop, time.Duration(s.DrainMs)*time.Millisecond)
+	case <-t.Dying():
+	}
+	t.Kill(nil)
+	_ = srv.Close()
+	err = t.Wait()
+	lg.Info().Msg("stopped")
+	return err
+}
+
+func served(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+const (
+	unready = 500 * time.Millisecond
+)
+
+func drain(h *hearth.Hearth, g *gate.Gate, srv *http.Server, again chan os.Signal, most time.Duration) {
+	g.Shut()
+	h.Call(crux.Depart{})
+	end := time.After(most)
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	from := time.Now()
+	for g.Running() > 0 || time.Since(from) < unready {
+		select {
+		case <-tick.C:
+		case <-again:
+			return
+		case <-end:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/mallowbridge/main.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/wire"
+)
+
+const version = "0.1.0"
+
+type command func(in io.Reader, out io.Writer) (err error)
+
+func main() { os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
+
+func run(args []string, in io.Reader, out, errs io.Writer) (code int) {
+	app := kingpin.New("mallowbridge", "A router fleet for a language model: one daemon per machine, and the tools around it.")
+	app.Version(fmt.Sprintf("mallowbridge %s, build %d", version, wire.Build))
+	app.HelpFlag.Short('h')
+	app.UsageWriter(out)
+	app.ErrorWriter(errs)
+	cmds := map[string]command{}
+	daemons(app, cmds)
+	operators(app, cmds)
+	standIns(app, cmds)
+	tools(app, cmds)
+	name, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errs, "mallowbridge:", err)
+		return 2
+	}
+	if err = cmds[name](in, out); err != nil {
+		complain(errs, err)
+		return 1
+	}
+	return 0
+}
+
+func complain(errs io.Writer, err error) {
+	var bad *charter.BadError
+	if errors.As(err, &bad) {
+		for _, f := range bad.Flaws {
+			fmt.Fprintln(errs, "mallowbridge:", f)
+		}
+		return
+	}
+	fmt.Fprintln(errs, "mallowbridge:", trace.Unwrap(err))
+}
--- /dev/null
+++ b/cmd/mallowbridge/main_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"mallowbridge": main})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(e *testscript.Env) (err error) {
+			for i := range 16 {
+				e.Setenv("P"+strconv.Itoa(i), freePort(t))
+			}
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"await": await, "config": config,
+		},
+	})
+}
+
+func freePort(t *testing.T) (addr string) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	end := time.Now().Add(30 * time.Second)
+	for ts.Exec(args[0], args[1:]...) != nil {
+		if time.Now().After(end) {
+			ts.Fatalf("gave up on %v", args)
+		}
+	}
+}
+
+func config(ts *testscript.TestScript, _ bool, args []string) {
+	text := `{"offers":[{"name":"zoning","model":"m1","cold":{"startRoom":4,"rampMs":0},"replicas":[`
+	for i, addr := range args[1:] {
+		if i > 0 {
+			text += ","
+		}
+		text += `{"name":"r` + strconv.Itoa(i+1) + `","addr":"` + addr + `","domain":"` + string(rune('a'+i)) + `","room":64}`
+	}
+	text += `],"kinds":[{"name":"counter","firstTokenMs":5000,"repeatable":true},{"name":"checklist","firstTokenMs":5000,"repeatable":true},
+{"name":"dossier","firstTokenMs":8000}]}]}`
+	ts.Check(os.WriteFile(filepath.Join(ts.Getenv("WORK"), args[0]), []byte(text), 0o600))
+}
--- /dev/null
+++ b/cmd/mallowbridge/stands.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+	"gopkg.in/tomb.v2"
+
+	"github.com/mallowbridge/mallowbridge/hearth"
+	"github.com/mallowbridge/mallowbridge/stage"
+	"github.com/mallowbridge/mallowbridge/stand"
+	"github.com/mallowbridge/mallowbridge/tally"
+)
+
+func standIns(app *kingpin.Application, cmds map[string]command) {
+	replica(app, cmds)
+	agent(app, cmds)
+	check(app, cmds)
+}
+
+func replica(app *kingpin.Application, cmds map[string]command) {
+	c := app.Command("replica", "Run a stand-in replica, for rehearsals.")
+	name := c.Flag("name", "Name of the replica.").Required().String()
+	addr := c.Flag("http", "IP:port to serve.").Required().String()
+	model := c.Flag("model", "Model that it serves.").Default("m1").String()
+	ledger := c.Flag("ledger", "File that gets a line for each run.").String()
+	m := stage.DefaultModel()
+	c.Flag("room", "Requests that it runs at once.").Default("8").IntVar(&m.Room)
+	c.Flag("keep", "Tokens that its prefix cache keeps.").Default("65536").IntVar(&m.Keep)
+	c.Flag("pieces", "Pieces in an answer.").Default("24").IntVar(&m.Pieces)
+	c.Flag("cold", "How long it stays cold.").Default("6s").DurationVar(&m.ColdFor)
+	cmds["replica"] = func(io.Reader, io.Writer) error {
+		w, err := stand.Ledger(*ledger)
+		if err != nil {
+			return err
+		}
+		lis, err := net.Listen("tcp", *addr)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		t := &tomb.Tomb{}
+		instance := *name + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
+		stand.NewReplica(t, *name, *model, instance, m, w, hearth.Clock).Serve(lis)
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+		<-stop
+		t.Kill(nil)
+		return t.Wait()
+	}
+}
+
+func agent(app *kingpin.Application, cmds map[string]command) {
+	c := app.Command("agent", "Run stand-in user agents, for rehearsals.")
+	nodes := c.Flag("node", "HTTP IP:port of a node; repeat it.").Required().Strings()
+	offer := c.Flag("offer", "Service offer to ask.").Default("zoning").String()
+	kinds := c.Flag("kind", "Kind that may be repeated.").Default("counter", "checklist").Strings()
+	once := c.Flag("once", "Kind that may not be repeated.").Default("dossier").Strings()
+	rate := c.Flag("rate", "Requests per second.").Default("20").Float64()
+	n := c.Flag("count", "Requests in all.").Default("200").Int()
+	hot := c.Flag("hot", "Share of requests with one hot prefix.").Default("0.1").Float64()
+	seed := c.Flag("seed", "Seed of the load.").Default("1").Uint64()
+	tag := c.Flag("tag", "Front of the request ids; new for each run.").Default(strconv.FormatInt(time.Now().Unix(), 36)).String()
+	ledger := c.Flag("ledger", "File that gets a line for each request.").String()
+	cmds["agent"] = func(_ io.Reader, out io.Writer) error {
+		w, err := stand.Ledger(*ledger)
+		if err != nil {
+			return err
+		}
+		load := stage.Load{Rate: *rate, Prefixes: 24, HotShare: *hot}
+		for _, k := range *kinds {
+			load.Kinds = append(load.Kinds, stage.KindLoad{Offer: *offer, Name: k, Repeatable: true})
+		}
+		for _, k := range *once {
+			load.Kinds = append(load.Kinds, stage.KindLoad{Offer: *offer, Name: k})
+		}
+		enc := json.NewEncoder(w)
+		sums := map[string]int{}
+		var firsts []int64
+		stand.NewAgent(*nodes).Run(context.Background(), stage.NewSource(load, *seed, *tag), *n, func(g tally.Got) {
+			_ = enc.Encode(g)
+			sums[g.Outcome]++
+			if g.Outcome == "done" {
+				firsts = append(firsts, g.FirstMs)
+			}
+		})
+		slices.Sort(firsts)
+		return report(out, sums, firsts)
+	}
+}
+
+func report(out io.Writer, sums map[string]int, firsts []int64) (err error) {
+	for _, k := range []string{"done", "denied", "partial", "unknown", "repeat", "bad", "lost"} {
+		fmt.Fprintf(out, "%-8s %d\n", k, sums[k])
+	}
+	if n := len(firsts); n > 0 {
+		fmt.Fprintf(out, "first piece: median %d ms, 95%% %d ms\n", firsts[n/2], firsts[n*95/100])
+	}
+	return nil
+}
+
+type BreachError struct{ N int }
+
+func (e *BreachError) Error() (text string) { return fmt.Sprintf("%d breaches", e.N) }
+
+func check(app *kingpin.Application, cmds map[string]command) {
+	c := app.Command("check", "Compare the ledgers of stand-in replicas and agents.")
+	ran := c.Flag("ran", "Pattern of the replicas' ledgers.").Required().String()
+	got := c.Flag("got", "Pattern of the agents' ledgers.").Required().String()
+	cmds["check"] = func(_ io.Reader, out io.Writer) error {
+		rans, err := lines[tally.Ran](*ran)
+		if err != nil {
+			return err
+		}
+		gots, err := lines[tally.Got](*got)
+		if err != nil {
+			return err
+		}
+		bs := tally.Check(rans, gots)
+		for _, b := range bs {
+			fmt.Fprintln(out, b)
+		}
+		fmt.Fprintf(out, "%d runs, %d outcomes, %d breaches\n", len(rans), len(gots), len(bs))
+		if len(bs) > 0 {
+			return trace.Wrap(&BreachError{N: len(bs)})
+		}
+		return nil
+	}
+}
+
+func lines[T any](pattern string) (rows []T, err error) {
+	names, err := filepath.Glob(pattern)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		sc := bufio.NewScanner(f)
+		sc.Buffer(nil, 1<<20)
+		for n := 1; sc.Scan(); n++ {
+			var row T
+			if err := json.Unmarshal(sc.Bytes(), &row); err != nil {
+				f.Close()
+				return nil, trace.Wrap(&LineError{Line: n, Why: name + ": " + err.Error()})
+			}
+			rows = append(rows, row)
+		}
+		f.Close()
+	}
+	return rows, nil
+}
--- /dev/null
+++ b/crux/command.go
@@ -0,0 +1,196 @@
+package crux
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/pact"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+const within = 4 * time.Second
+
+func (n *Node) command(now time.Duration, c Command) {
+	switch op := c.Op.(type) {
+	case Put:
+		if _, err := charter.Read(op.Body); err != nil {
+			n.answer(c.ID, err)
+			return
+		}
+		n.ask(now, within, put(op), false, n.replyTo(c.ID))
+	case Get:
+		n.ask(now, within, nil, false, n.replyTo(c.ID))
+	case Empty:
+		n.ask(now, within, empty(op), false, n.replyTo(c.ID))
+	case Found:
+		n.found(now, c.ID, op)
+	case Swap:
+		n.swap(now, c.ID, op)
+	case Listed:
+		n.listed(now, op)
+		n.answer(c.ID, nil)
+	case Witness:
+		n.witness.ask(now, n, c.ID, op.Request)
+	case Libs:
+		n.Kin.Update(now, func(m *kin.Member) { m.Libs = op.N })
+		n.answer(c.ID, nil)
+	case Depart:
+		n.depart(now)
+		n.answer(c.ID, nil)
+	}
+}
+
+func (n *Node) answer(id uint64, err error) {
+	n.out.Answers = append(n.out.Answers, Answer{ID: id, Err: err})
+}
+
+func put(op Put) (change pact.Change) {
+	return func(cur *pact.Value) (next *pact.Value, err error) {
+		if _, done := cur.Done(op.ID); done {
+			return nil, nil
+		}
+		if cur.Mark != op.Expect {
+			return nil, &pact.ConflictError{Mark: cur.Mark}
+		}
+		cur.Mark++
+		cur.Body = op.Body
+		cur.Note(op.ID)
+		return cur, nil
+	}
+}
+
+func empty(op Empty) (change pact.Change) {
+	return func(cur *pact.Value) (next *pact.Value, err error) {
+		if _, done := cur.Done(op.ID); done {
+			return nil, nil
+		}
+		at := slices.Index(cur.Emptied, op.Domain)
+		if (at >= 0) != op.Restore {
+			return nil, nil
+		}
+		if op.Restore {
+			cur.Emptied = slices.Delete(cur.Emptied, at, at+1)
+		} else {
+			cur.Emptied = append(cur.Emptied, op.Domain)
+		}
+		cur.Mark++
+		cur.Note(op.ID)
+		return cur, nil
+	}
+}
+
+func (n *Node) seats(names []string) (vs []pact.Voter, err error) {
+	for _, name := range names {
+		m, ok := n.Kin.Table.Get(name)
+		switch {
+		case !ok:
+			return nil, &NameError{Name: name, Why: "no such node is known"}
+		case m.Disk == "":
+			return nil, &NameError{Name: name, Why: "has no disk"}
+		case !m.Live():
+			return nil, &NameError{Name: name, Why: "is " + m.State.String()}
+		case slices.ContainsFunc(vs, func(v pact.Voter) bool { return v.Disk == m.Disk }):
+			return nil, &NameError{Name: name, Why: "is named twice"}
+		}
+		vs = append(vs, pact.Voter{Disk: m.Disk, Name: name})
+	}
+	if len(vs) == 0 {
+		return nil, &NameError{Name: "voters", Why: "must be named"}
+	}
+	return vs, nil
+}
+
+func (n *Node) found(now time.Duration, id uint64, op Found) {
+	vs, err := n.seats(op.Names)
+	if err == nil && n.known() != nil {
+		err = &pact.ConflictError{Mark: n.known().Mark}
+	}
+	if err != nil {
+		n.answer(id, err)
+		return
+	}
+	fleet := fmt.Sprintf("%s.%s.%s", n.cfg.Name, strconv.FormatUint(n.cfg.Inc, 36), strconv.FormatUint(n.cfg.Seed, 36))
+	n.opSeq++
+	n.waiting[n.opSeq] = n.replyTo(id)
+	n.prop.Found(now, now+within, n.opSeq, &pact.Value{Fleet: fleet, Voters: vs})
+}
+
+func (n *Node) swap(now time.Duration, id uint64, op Swap) {
+	vs, err := n.seats(op.Names)
+	if err != nil {
+		n.answer(id, err)
+		return
+	}
+	n.reseat(now, op.ID, vs, n.replyTo(id))
+}
+
+func (n *Node) reseat(now time.Duration, id string, vs []pact.Voter, done ending) {
+	n.ask(now, within, begin(id, vs), false, func(now time.Duration, r pact.Result) {
+		if r.Err != nil {
+			done(now, r)
+			return
+		}
+		n.ask(now, within, settleVoters, true, done)
+	})
+}
+
+func begin(id string, vs []pact.Voter) (change pact.Change) {
+	return func(cur *pact.Value) (next *pact.Value, err error) {
+		if _, done := cur.Done(id); done || slices.Equal(cur.Voters, vs) || slices.Equal(cur.Next, vs) {
+			return nil, nil
+		}
+		if len(cur.Next) > 0 {
+			return nil, &pact.ConflictError{Mark: cur.Mark}
+		}
+		cur.Next = vs
+		cur.Seat++
+		cur.Note(id)
+		return cur, nil
+	}
+}
+
+func settleVoters(cur *pact.Value) (next *pact.Value, err error) {
+	if len(cur.Next) == 0 {
+		return nil, nil
+	}
+	cur.Voters, cur.Next = cur.Next, nil
+	cur.Seat++
+	return cur, nil
+}
+
+func (n *Node) listed(now time.Duration, op Listed) {
+	for _, l := range op.Rows {
+		it := rumor.Item{Key: "p/" + l.Replica, Mark: rumor.Mark{Hi: op.At, Lo: n.cfg.Seed}, Data: l}
+		old, ok := n.Rumor.Get(it.Key)
+		if ok {
+			if was, same := old.Data.(Listing); same && was == l {
+				continue
+			}
+		}
+		if n.Rumor.Put(it) {
+			n.take(now, it)
+		}
+	}
+}
+
+func (n *Node) depart(now time.Duration) {
+	if n.left {
+		return
+	}
+	n.left = true
+	if n.value != nil {
+		for _, d := range n.hold.Held() {
+			n.toDisks(n.hold.Drop(d, n.value))
+		}
+	}
+	n.Kin.Update(now, func(m *kin.Member) { m.State = kin.Left })
+	n.spread(now)
+	for _, p := range n.peers() {
+		n.send(p.Addr, n.Rumor.News([]string{"m/" + n.cfg.Name}))
+	}
+	n.feed(now)
+}
--- /dev/null
+++ b/crux/join.go
@@ -0,0 +1,115 @@
+package crux
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/pact"
+)
+
+const (
+	settle     = 1500 * time.Millisecond
+	askEvery   = 300 * time.Millisecond
+	readWithin = time.Second
+	neighbours = 1500 * time.Millisecond
+)
+
+func (n *Node) join(now time.Duration) {
+	if n.joined {
+		if n.Kin.Alone(now) && now-n.asked >= askEvery {
+			n.asked = now
+			n.greet()
+		}
+		return
+	}
+	if now-n.asked >= askEvery {
+		n.asked = now
+		n.greet()
+	}
+	if n.known() != nil && !n.reading {
+		n.read(now, readWithin, false)
+	}
+	if now-n.since < neighbours {
+		return
+	}
+	others := 0
+	for _, m := range n.Kin.Table.All() {
+		if m.Name != n.cfg.Name && m.Live() {
+			others++
+		}
+	}
+	if len(n.met) > 0 && len(n.met) >= min(2, others) {
+		n.caughtUp("neighbours were read")
+		return
+	}
+	if len(n.cfg.Seeds) == 0 && others == 0 && n.known() == nil {
+		n.caughtUp("first of its fleet")
+	}
+}
+
+func (n *Node) known() (v *pact.Value) {
+	if n.value != nil {
+		return n.value
+	}
+	if n.voter != nil {
+		return n.voter.Value
+	}
+	return nil
+}
+
+func (n *Node) greet() {
+	sent := map[string]bool{n.cfg.Addr: true}
+	marks := n.Rumor.Marks(true)
+	for _, s := range n.cfg.Seeds {
+		if !sent[s] {
+			sent[s] = true
+			n.send(s, marks)
+		}
+	}
+	for _, m := range n.Kin.Table.All() {
+		if len(sent) > len(n.cfg.Seeds)+3 {
+			return
+		}
+		if !sent[m.Addr] {
+			sent[m.Addr] = true
+			n.send(m.Addr, marks)
+		}
+	}
+}
+
+func (n *Node) caughtUp(how string) {
+	if n.joined {
+		return
+	}
+	n.joined = true
+	n.change("caught up", how)
+	n.obey()
+}
+
+func (n *Node) feed(now time.Duration) {
+	n.fedAt = now
+	why := n.hindrance(now)
+	if why != n.why {
+		n.why = why
+		n.change("serving", map[bool]string{true: "yes", false: why}[why == ""])
+	}
+	n.event(mallowbridge.Feed{Why: why})
+}
+
+func (n *Node) hindrance(now time.Duration) (why string) {
+	switch {
+	case n.left:
+		return "draining"
+	case !n.joined:
+		return "catching up"
+	case n.Kin.Alone(now):
+		return "heard by nobody"
+	case n.pic == nil:
+		return "no configuration yet"
+	case n.settled == 0 || now < n.settled:
+		return "settling in"
+	}
+	return ""
+}
+
+func (n *Node) Why() (why string) { return n.why }
--- /dev/null
+++ b/crux/msg.go
@@ -0,0 +1,159 @@
+package crux
+
+import (
+	"encoding/gob"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/pact"
+	"github.com/mallowbridge/mallowbridge/rumor"
+	"github.com/mallowbridge/mallowbridge/term"
+)
+
+func init() {
+	for name, v := range map[string]any{
+		"pp": pact.Prepare{}, "pq": pact.Promise{}, "pa": pact.Accept{}, "pb": pact.Accepted{}, "pv": &pact.Value{},
+		"ta": term.Ask{}, "tg": term.Grant{}, "td": term.Drop{},
+		"kp": kin.Ping{}, "ka": kin.Ack{}, "kf": kin.PingFor{}, "km": kin.Member{},
+		"rn": rumor.News{}, "rs": rumor.Sum{}, "rm": rumor.Marks{}, "rw": rumor.Want{},
+		"cu": Usages{}, "cl": Listing{},
+		"ws": WitnessAsk{}, "wy": WitnessSay{},
+	} {
+		gob.RegisterName(name, v)
+	}
+}
+
+type Usages struct {
+	Domain string
+	By     string
+	Rows   []mallowbridge.Usage
+}
+
+type Listing struct {
+	Replica string `json:"replica"`
+	State   string `json:"state"`
+}
+
+type WitnessAsk struct {
+	Rid     uint64
+	Request string
+	By      string
+}
+
+type WitnessSay struct {
+	Rid   uint64
+	First bool
+}
+
+type In interface{ in() }
+
+type Recv struct {
+	From string
+	Msg  any
+}
+
+type Tick struct{}
+
+type Saved struct {
+	Ticket uint64
+	Err    error
+}
+
+type Probed struct {
+	Replica    string
+	OK         bool
+	InstanceID string
+	Running    int
+	Leaving    bool
+	Lag        time.Duration
+}
+
+type Command struct {
+	ID uint64
+	Op Op
+}
+
+func (Recv) in()    {}
+func (Tick) in()    {}
+func (Saved) in()   {}
+func (Probed) in()  {}
+func (Command) in() {}
+
+type Op interface{ op() }
+
+type Put struct {
+	ID     string
+	Expect uint64
+	Body   []byte
+}
+
+type Get struct{}
+
+type Empty struct {
+	ID      string
+	Domain  string
+	Restore bool
+}
+
+type Found struct{ Names []string }
+
+type Swap struct {
+	ID    string
+	Names []string
+}
+
+type Listed struct {
+	Rows []Listing
+	At   uint64
+}
+
+type Witness struct{ Request string }
+
+type Libs struct{ N int }
+
+type Depart struct{}
+
+func (Put) op()     {}
+func (Get) op()     {}
+func (Empty) op()   {}
+func (Found) op()   {}
+func (Swap) op()    {}
+func (Listed) op()  {}
+func (Witness) op() {}
+func (Libs) op()    {}
+func (Depart) op()  {}
+
+type Send struct {
+	To  string
+	Msg any
+}
+
+type Write struct {
+	Ticket uint64
+	Entry  any
+}
+
+type Answer struct {
+	ID    uint64
+	Value *pact.Value
+	First bool
+	Err   error
+}
+
+type Probe struct{ Replica, Addr string }
+
+type Out struct {
+	Sends   []Send
+	Writes  []Write
+	Answers []Answer
+	Events  []mallowbridge.Event
+	Probes  []Probe
+	Changes []Change
+}
+
+type Change struct{ What, Detail string }
+
+type NameError struct{ Name, Why string }
+
+func (e *NameError) Error() (text string) { return e.Name + ": " + e.Why }
--- /dev/null
+++ b/crux/news.go
@@ -0,0 +1,123 @@
+package crux
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/pact"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+func (n *Node) onNews(now time.Duration, from string, m rumor.News) {
+	for _, it := range m.Items {
+		if !n.Rumor.Put(it) {
+			continue
+		}
+		n.take(now, it)
+	}
+	n.met[from] = true
+}
+
+func (n *Node) take(now time.Duration, it rumor.Item) {
+	switch d := it.Data.(type) {
+	case kin.Member:
+		d.State = kin.State(it.Mark.Lo)
+		n.Kin.Hear(now, d)
+	case *pact.Value:
+		n.learn(d)
+	case Usages:
+		n.onUsages(now, it.Mark, d)
+	case Listing:
+		n.event(mallowbridge.Listing{Replica: d.Replica, State: d.State})
+	}
+}
+
+func (n *Node) event(ev mallowbridge.Event) { n.out.Events = append(n.out.Events, ev) }
+
+func (n *Node) spread(now time.Duration) {
+	for _, m := range n.Kin.TakeNews() {
+		n.Rumor.Put(rumor.Item{Key: "m/" + m.Name, Mark: rumor.Mark{Hi: m.Inc, Lo: uint64(m.State)}, Data: m})
+		if m.Name != n.cfg.Name {
+			n.change("member "+m.State.String(), m.Name)
+		}
+	}
+	n.shares(now)
+}
+
+func (n *Node) shares(now time.Duration) {
+	if n.settled == 0 && n.joined {
+		n.settled = now + settle
+	}
+	var names []string
+	for _, m := range n.Kin.Routers(now) {
+		if m.Name == n.cfg.Name && (n.settled == 0 || now < n.settled || n.left) {
+			continue
+		}
+		names = append(names, m.Name)
+		for i := range m.Libs {
+			names = append(names, m.Name+"#"+strconv.Itoa(i+1))
+		}
+	}
+	sort.Strings(names)
+	if key := strings.Join(names, ","); key != n.routers {
+		n.routers = key
+		n.event(mallowbridge.Routers{Names: names})
+	}
+}
+
+func (n *Node) learn(v *pact.Value) {
+	if !v.Newer(n.value) {
+		return
+	}
+	c, err := charter.Read(v.Body)
+	if err != nil && len(v.Body) > 0 {
+		n.change("picture denied", err.Error())
+		return
+	}
+	old := n.value
+	n.value = v
+	n.prop.Learn(v)
+	n.Rumor.Put(rumor.Item{Key: "c", Mark: rumor.Mark{Hi: v.Mark, Lo: v.Seat}, Data: v})
+	if old == nil || !pact.SameSeats(old, v) {
+		n.change("voters", fmt.Sprintf("%v, next %v", v.Voters, v.Next))
+	}
+	if len(v.Body) > 0 {
+		n.pic = &charter.Picture{Mark: v.Mark, Charter: c, Emptied: v.Emptied}
+	}
+	n.obey()
+}
+
+func (n *Node) obey() {
+	if !n.joined || n.pic == nil || n.pic.Mark <= n.obeyed {
+		return
+	}
+	n.obeyed = n.pic.Mark
+	n.change("obeys", fmt.Sprintf("mark %d", n.obeyed))
+	n.event(mallowbridge.Order{Picture: n.pic})
+	n.replay()
+}
+
+func (n *Node) replay() {
+	for _, o := range n.pic.Charter.Offers {
+		for _, r := range o.Replicas {
+			if it, ok := n.Rumor.Get("p/" + r.Name); ok {
+				if l, ok := it.Data.(Listing); ok {
+					n.event(mallowbridge.Listing{Replica: l.Replica, State: l.State})
+				}
+			}
+		}
+	}
+	for _, d := range n.domains() {
+		if it, ok := n.Rumor.Get("u/" + d); ok {
+			if u, ok := it.Data.(Usages); ok {
+				n.usageEvents(u)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/crux/node.go
@@ -0,0 +1,239 @@
+package crux
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/pact"
+	"github.com/mallowbridge/mallowbridge/rumor"
+	"github.com/mallowbridge/mallowbridge/term"
+	"github.com/mallowbridge/mallowbridge/wire"
+)
+
+type Config struct {
+	Name, Addr, HTTP, Domain string
+	Seeds                    []string
+	Inc                      uint64
+	Seed                     uint64
+	Disk                     *Kept
+	Kin                      kin.Config
+	Rumor                    rumor.Config
+}
+
+type held struct {
+	ticket uint64
+	send   Send
+}
+
+type ending func(now time.Duration, r pact.Result)
+
+type Node struct {
+	cfg    Config
+	out    *Out
+	Kin    *kin.Kin
+	Rumor  *rumor.Store
+	prop   *pact.Proposer
+	voter  *pact.Acceptor
+	grants *term.Granter
+	hold   *term.Holder
+	seated bool
+
+	ticket  uint64
+	held    []held
+	oldest  time.Duration
+	broken  error
+	local   []Recv
+	opSeq   uint64
+	waiting map[uint64]ending
+	reading bool
+
+	value   *pact.Value
+	pic     *charter.Picture
+	obeyed  uint64
+	joined  bool
+	since   time.Duration
+	asked   time.Duration
+	met     map[string]bool
+	settled time.Duration
+	left    bool
+	why     string
+	routers string
+	fedAt   time.Duration
+	behind  time.Duration
+	ahead   time.Duration
+	reread  time.Duration
+
+	duties  duties
+	witness witness
+}
+
+func New(now time.Duration, cfg Config) (n *Node) {
+	self := kin.Member{Name: cfg.Name, Addr: cfg.Addr, HTTP: cfg.HTTP, Domain: cfg.Domain, Inc: cfg.Inc, Build: wire.Build}
+	by := cfg.Name + "/" + strconv.FormatUint(cfg.Inc, 36)
+	n = &Node{
+		cfg: cfg, prop: pact.NewProposer(by, cfg.Seed), hold: term.NewHolder(by), Rumor: rumor.New(cfg.Rumor, cfg.Seed),
+		waiting: map[uint64]ending{}, met: map[string]bool{}, since: now, asked: -time.Hour, fedAt: -time.Hour,
+		duties: newDuties(), witness: newWitness(),
+	}
+	if cfg.Disk != nil {
+		self.Disk = cfg.Disk.Pact.Disk
+		n.voter = &pact.Acceptor{State: cfg.Disk.Pact}
+		n.grants = term.NewGranter(self.Disk, cfg.Disk.Grants, now+term.TTL)
+		n.prop.Learn(cfg.Disk.Pact.Value)
+		n.seated = cfg.Disk.Pact.Value != nil
+	}
+	n.Kin = kin.New(cfg.Kin, self, cfg.Seed, now)
+	return n
+}
+
+func (n *Node) Step(now time.Duration, in In) (out Out) {
+	n.out = &out
+	switch i := in.(type) {
+	case Recv:
+		n.recv(now, i)
+	case Saved:
+		n.saved(now, i)
+	case Probed:
+		n.probed(now, i)
+	case Command:
+		n.command(now, i)
+	case Tick:
+		n.tick(now)
+	}
+	n.flush(now)
+	return out
+}
+
+func (n *Node) flush(now time.Duration) {
+	for range 64 {
+		n.register(now)
+		n.spread(now)
+		if len(n.local) == 0 {
+			return
+		}
+		next := n.local
+		n.local = nil
+		for _, r := range next {
+			n.recv(now, r)
+		}
+	}
+}
+
+func (n *Node) tick(now time.Duration) {
+	if now-n.fedAt > n.cfg.Kin.Gap && n.fedAt > 0 && n.joined {
+		n.wake(now)
+	}
+	n.prop.Tick(now)
+	for _, s := range n.Kin.Tick(now) {
+		n.send(s.To, s.Msg)
+	}
+	for _, s := range n.Rumor.Tick(now, n.peers()) {
+		n.send(s.To, s.Msg)
+	}
+	n.join(now)
+	n.mind(now)
+	n.fitness(now)
+	n.work(now)
+	n.witness.tick(now, n)
+	n.feed(now)
+}
+
+func (n *Node) wake(now time.Duration) {
+	n.change("woke", fmt.Sprintf("after %s without a tick", now-n.fedAt))
+	n.joined, n.since, n.asked = false, now, -time.Hour
+	n.met = map[string]bool{}
+}
+
+func (n *Node) change(what, detail string) {
+	n.out.Changes = append(n.out.Changes, Change{What: what, Detail: detail})
+}
+
+func (n *Node) send(to string, msg any) {
+	if to == n.cfg.Addr {
+		n.local = append(n.local, Recv{From: to, Msg: msg})
+		return
+	}
+	if to != "" {
+		n.out.Sends = append(n.out.Sends, Send{To: to, Msg: msg})
+	}
+}
+
+func (n *Node) addrOf(disk string) (addr string) {
+	for _, m := range n.Kin.Table.All() {
+		if m.Disk == disk && m.State != kin.Left {
+			return m.Addr
+		}
+	}
+	return ""
+}
+
+func (n *Node) toDisks(sends []pact.Send) {
+	for _, s := range sends {
+		if n.voter != nil && s.Disk == n.voter.Disk {
+			n.send(n.cfg.Addr, s.Msg)
+			continue
+		}
+		n.send(n.addrOf(s.Disk), s.Msg)
+	}
+}
+
+func (n *Node) peers() (ps []rumor.Peer) {
+	for _, m := range n.Kin.Table.All() {
+		if m.Name != n.cfg.Name && m.Live() {
+			ps = append(ps, rumor.Peer{Name: m.Name, Addr: m.Addr, Near: m.Domain == n.cfg.Domain})
+		}
+	}
+	return ps
+}
+
+func (n *Node) recv(now time.Duration, r Recv) {
+	if r.From != n.cfg.Addr {
+		n.Kin.Heard(now)
+		n.rouse(r.From)
+	}
+	switch m := r.Msg.(type) {
+	case kin.Ping:
+		n.kinSends(n.Kin.OnPing(r.From, m))
+	case kin.PingFor:
+		n.kinSends(n.Kin.OnPingFor(now, r.From, m))
+	case kin.Ack:
+		n.kinSends(n.Kin.OnAck(now, m))
+	case rumor.News:
+		n.onNews(now, r.From, m)
+	case rumor.Sum:
+		n.rumorSends(n.Rumor.OnSum(r.From, m))
+	case rumor.Marks:
+		n.rumorSends(n.Rumor.OnMarks(r.From, m))
+	case rumor.Want:
+		n.rumorSends(n.Rumor.OnWant(r.From, m))
+	case WitnessAsk:
+		n.send(r.From, n.witness.see(now, m))
+	case WitnessSay:
+		n.witness.said(m, n)
+	default:
+		n.vote(now, r)
+	}
+}
+
+func (n *Node) kinSends(ss []kin.Send) {
+	for _, s := range ss {
+		n.send(s.To, s.Msg)
+	}
+}
+
+func (n *Node) rumorSends(ss []rumor.Send) {
+	for _, s := range ss {
+		n.send(s.To, s.Msg)
+	}
+}
+
+func (n *Node) rouse(from string) {
+	for _, m := range n.Kin.Table.All() {
+		if m.Addr == from && m.State == kin.Dead {
+			n.send(from, n.Rumor.News([]string{"m/" + m.Name}))
+		}
+	}
+}
--- /dev/null
+++ b/crux/register.go
@@ -0,0 +1,174 @@
+package crux
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/pact"
+	"github.com/mallowbridge/mallowbridge/term"
+)
+
+type Promised struct{ Ballot pact.Ballot }
+
+type AcceptedEntry struct {
+	Ballot pact.Ballot
+	Value  *pact.Value
+}
+
+type Granted struct {
+	Duty   string
+	Record term.Record
+}
+
+const (
+	stalledAfter = time.Second
+	maxHeld      = 256
+)
+
+func (n *Node) vote(now time.Duration, r Recv) {
+	switch m := r.Msg.(type) {
+	case pact.Promise:
+		n.prop.OnPromise(now, m)
+		return
+	case pact.Accepted:
+		n.prop.OnAccepted(now, m)
+		return
+	case term.Grant:
+		if n.value != nil {
+			n.hold.OnGrant(now, m, n.value)
+		}
+		return
+	}
+	if n.voter == nil || n.broken != nil || len(n.held) >= maxHeld {
+		return
+	}
+	switch m := r.Msg.(type) {
+	case pact.Prepare:
+		a, write := n.voter.Prepare(m)
+		n.reply(now, r.From, a, a.Disk != "", write, Promised{Ballot: m.Ballot})
+	case pact.Accept:
+		a, write := n.voter.Accept(m)
+		if a.OK && !n.seated {
+			n.seated = true
+			n.grants.Quiet(now + term.TTL)
+		}
+		n.reply(now, r.From, a, a.Disk != "", write, AcceptedEntry{Ballot: m.Ballot, Value: m.Value})
+	case term.Ask:
+		g, write := n.grants.Ask(now, m)
+		n.reply(now, r.From, g, g.Disk != "", write, Granted{Duty: m.Duty, Record: term.Record{Holder: m.Holder, Mark: m.Mark}})
+	case term.Drop:
+		n.grants.Drop(m)
+	}
+}
+
+func (n *Node) reply(now time.Duration, to string, msg any, ours, write bool, entry any) {
+	if !ours {
+		return
+	}
+	if write {
+		n.ticket++
+		n.out.Writes = append(n.out.Writes, Write{Ticket: n.ticket, Entry: entry})
+		if len(n.held) == 0 {
+			n.oldest = now
+		}
+	}
+	if !write && len(n.held) == 0 {
+		n.send(to, msg)
+		return
+	}
+	n.held = append(n.held, held{ticket: n.ticket, send: Send{To: to, Msg: msg}})
+}
+
+func (n *Node) saved(now time.Duration, s Saved) {
+	if s.Err != nil {
+		n.broken = s.Err
+		n.held = nil
+		n.change("disk broke down", s.Err.Error())
+		n.unfit(now, true)
+		return
+	}
+	for len(n.held) > 0 && n.held[0].ticket <= s.Ticket {
+		n.send(n.held[0].send.To, n.held[0].send.Msg)
+		n.held = n.held[1:]
+		n.oldest = now
+	}
+}
+
+func (n *Node) fitness(now time.Duration) {
+	if n.voter == nil || n.broken != nil {
+		return
+	}
+	n.unfit(now, len(n.held) > 0 && now-n.oldest > stalledAfter)
+}
+
+func (n *Node) unfit(now time.Duration, yes bool) {
+	if n.Kin.Self.Unfit == yes {
+		return
+	}
+	n.change("disk fitness", map[bool]string{true: "unfit", false: "fit"}[yes])
+	n.Kin.Update(now, func(m *kin.Member) { m.Unfit = yes })
+}
+
+func (n *Node) ask(now, within time.Duration, change pact.Change, full bool, done ending) {
+	n.opSeq++
+	n.waiting[n.opSeq] = done
+	n.prop.Do(now, now+within, n.opSeq, change, full)
+}
+
+func (n *Node) read(now, within time.Duration, full bool) {
+	n.reading = true
+	n.ask(now, within, nil, full, func(time.Duration, pact.Result) { n.reading = false })
+}
+
+func (n *Node) replyTo(id uint64) (done ending) {
+	return func(_ time.Duration, r pact.Result) {
+		n.out.Answers = append(n.out.Answers, Answer{ID: id, Value: r.Value, Err: r.Err})
+	}
+}
+
+func (n *Node) register(now time.Duration) {
+	sends, results := n.prop.Take()
+	n.toDisks(sends)
+	for _, r := range results {
+		if r.Value != nil {
+			n.learn(r.Value)
+			n.caughtUp("a majority was read")
+		}
+		done := n.waiting[r.ID]
+		delete(n.waiting, r.ID)
+		done(now, r)
+	}
+}
+
+func (n *Node) mind(now time.Duration) {
+	if n.voter == nil || n.broken != nil || !n.joined || n.reading || now < n.reread {
+		return
+	}
+	mine := n.voter.Value
+	switch {
+	case mine.Newer(n.value):
+		if n.ahead == 0 {
+			n.ahead = now
+		}
+	case n.value != nil && n.value.Newer(mine) && n.votes():
+		if n.behind == 0 {
+			n.behind = now
+		}
+	default:
+		n.ahead, n.behind = 0, 0
+		return
+	}
+	if (n.ahead != 0 && now-n.ahead > 300*time.Millisecond) || (n.behind != 0 && now-n.behind > 500*time.Millisecond) {
+		n.ahead, n.behind, n.reread = 0, 0, now+700*time.Millisecond
+		n.read(now, 2*time.Second, true)
+	}
+}
+
+func (n *Node) votes() (yes bool) {
+	for _, v := range n.value.All() {
+		if v.Disk == n.voter.Disk {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/crux/status.go
@@ -0,0 +1,55 @@
+package crux
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/pact"
+)
+
+type MemberStatus struct {
+	kin.Member
+	State string `json:"state"`
+}
+
+type Status struct {
+	Name    string          `json:"name"`
+	Domain  string          `json:"domain"`
+	Serving bool            `json:"serving"`
+	Why     string          `json:"why,omitempty"`
+	Mark    uint64          `json:"mark"`
+	Obeyed  uint64          `json:"obeyed"`
+	Emptied []string        `json:"emptied"`
+	Voters  []pact.Voter    `json:"voters"`
+	Next    []pact.Voter    `json:"next,omitempty"`
+	Voter   bool            `json:"voter"`
+	Unfit   bool            `json:"unfit"`
+	Claims  []string        `json:"claims"`
+	Members []MemberStatus  `json:"members"`
+	Deaths  uint64          `json:"deaths"`
+	Refutes uint64          `json:"refutes"`
+	News    int             `json:"news"`
+	Config  json.RawMessage `json:"config,omitempty"`
+}
+
+func (n *Node) Status(now time.Duration) (s Status) {
+	s = Status{
+		Name: n.cfg.Name, Domain: n.cfg.Domain, Serving: n.why == "" && n.fedAt > 0, Why: n.why, Obeyed: n.obeyed, Unfit: n.Kin.Self.Unfit,
+		Deaths: n.Kin.Deaths, Refutes: n.Kin.Refutes, News: n.Rumor.Len(), Emptied: []string{}, Claims: []string{},
+	}
+	for _, m := range n.Kin.Table.All() {
+		s.Members = append(s.Members, MemberStatus{Member: m, State: m.State.String()})
+	}
+	for _, d := range n.hold.Held() {
+		if _, ok := n.hold.Holds(now, d); ok {
+			s.Claims = append(s.Claims, d)
+		}
+	}
+	if n.value != nil {
+		s.Mark, s.Voters, s.Next, s.Config = n.value.Mark, n.value.Voters, n.value.Next, n.value.Body
+		s.Emptied = append(s.Emptied, n.value.Emptied...)
+		s.Voter = n.voter != nil && n.votes()
+	}
+	return s
+}
--- /dev/null
+++ b/desk.go
@@ -0,0 +1,112 @@
+package mallowbridge
+
+import (
+	"time"
+
+	"gopkg.in/tomb.v2"
+)
+
+type ask struct {
+	ev   Event
+	sub  chan Decision
+	look func(r *Router)
+	done chan struct{}
+}
+
+// Desk owns one Router in one goroutine; events go in by Tell, a request's decisions come back on its own channel.
+type Desk struct {
+	t     *tomb.Tomb
+	clock func() time.Duration
+	in    chan ask
+	r     *Router
+	subs  map[string]chan Decision
+}
+
+const deskQueue = 1024
+
+func NewDesk(t *tomb.Tomb, r *Router, clock func() time.Duration, every time.Duration) (d *Desk) {
+	d = &Desk{t: t, clock: clock, in: make(chan ask, deskQueue), r: r, subs: map[string]chan Decision{}}
+	t.Go(func() error { return d.run(every) })
+	return d
+}
+
+func (d *Desk) run(every time.Duration) (err error) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-d.t.Dying():
+			return nil
+		case <-tick.C:
+			d.deal(d.r.Step(d.clock(), Tick{}))
+		case a := <-d.in:
+			d.take(a)
+		}
+	}
+}
+
+func (d *Desk) take(a ask) {
+	if a.look != nil {
+		a.look(d.r)
+		close(a.done)
+		return
+	}
+	if arr, ok := a.ev.(Arrive); ok {
+		if d.subs[arr.Request] != nil {
+			a.sub <- Decision{Verdict: Deny, Request: arr.Request, Why: "request is already running here", Repeat: true}
+			return
+		}
+		d.subs[arr.Request] = a.sub
+	}
+	d.deal(d.r.Step(d.clock(), a.ev))
+	if h, ok := a.ev.(Hangup); ok {
+		delete(d.subs, h.Request)
+	}
+}
+
+func (d *Desk) deal(ds []Decision) {
+	for _, x := range ds {
+		sub := d.subs[x.Request]
+		if sub == nil {
+			continue
+		}
+		select {
+		case sub <- x:
+		default:
+		}
+		switch x.Verdict {
+		case Deny, Unknown, Partial, Done:
+			delete(d.subs, x.Request)
+		}
+	}
+}
+
+func (d *Desk) put(a ask) (ok bool) {
+	select {
+	case d.in <- a:
+		return true
+	case <-d.t.Dying():
+		return false
+	}
+}
+
+func (d *Desk) Tell(ev Event) { d.put(ask{ev: ev}) }
+
+const subRoom = 64
+
+func (d *Desk) Submit(a Arrive) (decisions <-chan Decision) {
+	sub := make(chan Decision, subRoom)
+	d.put(ask{ev: a, sub: sub})
+	return sub
+}
+
+func (d *Desk) Look(look func(r *Router)) {
+	done := make(chan struct{})
+	if !d.put(ask{look: look, done: done}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-d.t.Dying():
+	}
+}
--- /dev/null
+++ b/gate/health.go
@@ -0,0 +1,72 @@
+package gate
+
+import (
+	"net/http"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+func (o *Ops) health(w http.ResponseWriter, r bunrouter.Request) error {
+	return reply(w, http.StatusOK, map[string]string{"health": "ok"})
+}
+
+func (o *Ops) readiness(w http.ResponseWriter, r bunrouter.Request) error {
+	why := "draining"
+	if o.G.Open() {
+		o.G.desk.Look(func(r *mallowbridge.Router) { why = r.Stalled(o.Clock()) })
+	}
+	if why != "" {
+		w.Header().Set("Retry-After", "1")
+		return reply(w, http.StatusServiceUnavailable, map[string]string{"ready": "no", "why": why})
+	}
+	return reply(w, http.StatusOK, map[string]string{"ready": "yes"})
+}
+
+func (o *Ops) status(w http.ResponseWriter, r bunrouter.Request) error {
+	var s crux.Status
+	o.C.Look(func(n *crux.Node) { s = n.Status(o.Clock()) })
+	return reply(w, http.StatusOK, s)
+}
+
+func (o *Ops) counters(w http.ResponseWriter, r bunrouter.Request) error {
+	c := map[string]uint64{}
+	g := &o.G.N
+	c["gate.requests"], c["gate.denied"], c["gate.repeats"] = g.Requests.Load(), g.Denied.Load(), g.Repeats.Load()
+	c["gate.done"], c["gate.partial"], c["gate.unknown"] = g.Done.Load(), g.Partial.Load(), g.Unknown.Load()
+	c["gate.bad"], c["gate.hangups"], c["gate.breaks"] = g.Bad.Load(), g.Hangups.Load(), g.Breaks.Load()
+	o.G.desk.Look(func(r *mallowbridge.Router) { count(c, r) })
+	if o.Extra != nil {
+		for k, v := range o.Extra() {
+			c[k] = v
+		}
+	}
+	return reply(w, http.StatusOK, c)
+}
+
+func count(c map[string]uint64, r *mallowbridge.Router) {
+	m := r.Counters()
+	h, t := r.Hints()
+	early, stale := r.Alerts()
+	for k, v := range map[string]uint64{
+		"bid.arrived": m.Arrived, "bid.placed": m.Placed, "bid.firstGoes": m.Firsts, "bid.secondGoes": m.Seconds,
+		"bid.secondGoesSpared": m.SecondsSpared, "bid.deniedEarly": m.DeniedEarly, "bid.deniedLate": m.DeniedLate,
+		"bid.unknown": m.Unknowns, "bid.partial": m.Partials, "bid.done": m.Dones, "bid.confirmedTokens": m.ConfirmedTokens,
+		"bid.predictedTokens": m.PredictedTokens, "bid.prefixTokens": m.PrefixTokens, "bid.rechecked": m.Rechecked,
+		"bid.silent": m.Silent, "bid.unreached": m.Unreached, "bid.refused": m.Refused, "bid.firstTokenInTime": m.FirstTokenOK,
+		"hint.recorded": h.Recorded, "hint.confirmed": h.Confirmed, "hint.earlyExpiry": h.EarlyExpiry,
+		"hint.staleExpiry": h.StaleExpiry, "hint.inferredEvictions": h.Inferred, "hint.resets": h.Resets,
+		"hint.ttlMs": uint64(t.Milliseconds()), "hint.earlyAlert": flag(early), "hint.staleAlert": flag(stale),
+	} {
+		c[k] = v
+	}
+}
+
+func flag(b bool) (n uint64) {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/gate/ops.go
@@ -0,0 +1,210 @@
+package gate
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/uptrace/bunrouter"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/pact"
+)
+
+type Control interface {
+	Call(op crux.Op) (a crux.Answer)
+	Look(look func(n *crux.Node))
+}
+
+type Ops struct {
+	C     Control
+	G     *Gate
+	Clock func() time.Duration
+	Extra func() (counters map[string]uint64)
+}
+
+type Accepted struct {
+	Mark    uint64          `json:"mark"`
+	Emptied []string        `json:"emptied"`
+	Voters  []pact.Voter    `json:"voters"`
+	Config  json.RawMessage `json:"config,omitempty"`
+}
+
+type Trouble struct {
+	Error string         `json:"error"`
+	Fate  string         `json:"fate"`
+	Mark  *uint64        `json:"mark,omitempty"`
+	Flaws []charter.Flaw `json:"flaws,omitempty"`
+}
+
+func (o *Ops) Routes(r *bunrouter.Router) {
+	r.POST("/v1/offers/:offer/:kind", o.G.Handler())
+	r.GET("/healthz", o.health)
+	r.GET("/readyz", o.readiness)
+	r.GET("/v1/status", o.status)
+	r.GET("/v1/counters", o.counters)
+	r.GET("/v1/config", o.get)
+	r.PUT("/v1/config", o.put)
+	r.POST("/v1/domains/:domain/empty", o.domain(false))
+	r.POST("/v1/domains/:domain/restore", o.domain(true))
+	r.POST("/v1/found", o.voters(func(id string, names []string) crux.Op { return crux.Found{Names: names} }))
+	r.POST("/v1/voters", o.voters(func(id string, names []string) crux.Op { return crux.Swap{ID: id, Names: names} }))
+	r.POST("/v1/replicas", o.replicas)
+}
+
+func reply(w http.ResponseWriter, status int, v any) (err error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+	return nil
+}
+
+func refuse(w http.ResponseWriter, err error) error {
+	var bad *charter.BadError
+	var conflict *pact.ConflictError
+	var unknown *pact.UnknownError
+	var unreached *pact.UnreachedError
+	var unfounded *pact.UnfoundedError
+	var name *crux.NameError
+	var long *http.MaxBytesError
+	t := Trouble{Error: err.Error(), Fate: "unchanged"}
+	status := http.StatusInternalServerError
+	switch {
+	case errors.As(err, &bad):
+		status, t.Flaws, t.Error = http.StatusUnprocessableEntity, bad.Flaws, "configuration is flawed"
+	case errors.As(err, &conflict):
+		status, t.Mark = http.StatusConflict, &conflict.Mark
+	case errors.As(err, &unknown):
+		status, t.Fate = http.StatusGatewayTimeout, "unknown"
+	case errors.As(err, &unreached), errors.As(err, &unfounded):
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", "2")
+	case errors.As(err, &name):
+		status = http.StatusUnprocessableEntity
+	case errors.As(err, &long):
+		status = http.StatusRequestEntityTooLarge
+	}
+	return reply(w, status, t)
+}
+
+func flaw(path, val, bound string) (err error) {
+	return &charter.BadError{Flaws: []charter.Flaw{{Path: path, Value: val, Bound: bound}}}
+}
+
+func (o *Ops) changeID(r bunrouter.Request) (id string, err error) {
+	id = r.Header.Get("X-Change-Id")
+	if !clean(id, 128) {
+		return "", flaw("X-Change-Id", strconv.Quote(id), "1 to 128 printable bytes, the same when a change is repeated")
+	}
+	return id, nil
+}
+
+func body(w http.ResponseWriter, r bunrouter.Request) (raw []byte, err error) {
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, charter.MaxBytes))
+}
+
+func (o *Ops) answer(w http.ResponseWriter, a crux.Answer) error {
+	if a.Err != nil {
+		return refuse(w, a.Err)
+	}
+	v := a.Value
+	return reply(w, http.StatusOK, Accepted{Mark: v.Mark, Emptied: append([]string{}, v.Emptied...), Voters: v.Voters, Config: v.Body})
+}
+
+func (o *Ops) get(w http.ResponseWriter, r bunrouter.Request) error {
+	return o.answer(w, o.C.Call(crux.Get{}))
+}
+
+func (o *Ops) put(w http.ResponseWriter, r bunrouter.Request) error {
+	id, err := o.changeID(r)
+	if err != nil {
+		return refuse(w, err)
+	}
+	expect, err := strconv.ParseUint(r.URL.Query().Get("expect"), 10, 64)
+	if err != nil {
+		return refuse(w, flaw("?expect", strconv.Quote(r.URL.Query().Get("expect")), "the mark this change expects"))
+	}
+	raw, err := body(w, r)
+	if err != nil {
+		return refuse(w, err)
+	}
+	if _, err = charter.Read(raw); err != nil {
+		return refuse(w, err)
+	}
+	return o.answer(w, o.C.Call(crux.Put{ID: id, Expect: expect, Body: raw}))
+}
+
+func (o *Ops) domain(restore bool) (h bunrouter.HandlerFunc) {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		id, err := o.changeID(r)
+		if err != nil {
+			return refuse(w, err)
+		}
+		name := r.Param("domain")
+		known := false
+		o.C.Look(func(n *crux.Node) { known = n.Knows(name) })
+		if !known {
+			return refuse(w, &crux.NameError{Name: name, Why: "no such domain"})
+		}
+		return o.answer(w, o.C.Call(crux.Empty{ID: id, Domain: name, Restore: restore}))
+	}
+}
+
+func (o *Ops) voters(op func(id string, names []string) crux.Op) (h bunrouter.HandlerFunc) {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		id, err := o.changeID(r)
+		if err != nil {
+			return refuse(w, err)
+		}
+		raw, err := body(w, r)
+		if err != nil {
+			return refuse(w, err)
+		}
+		d, err := charter.Open(raw)
+		if err != nil {
+			return refuse(w, err)
+		}
+		var names []string
+		for _, e := range d.List("voters", 1, 15) {
+			names = append(names, e.Text(64))
+		}
+		d.Shut()
+		if err = d.Err(); err != nil {
+			return refuse(w, err)
+		}
+		return o.answer(w, o.C.Call(op(id, names)))
+	}
+}
+
+func (o *Ops) replicas(w http.ResponseWriter, r bunrouter.Request) error {
+	raw, err := body(w, r)
+	if err != nil {
+		return refuse(w, err)
+	}
+	d, err := charter.Open(raw)
+	if err != nil {
+		return refuse(w, err)
+	}
+	op := crux.Listed{At: uint64(time.Now().UnixMilli())}
+	for _, e := range d.List("replicas", 1, 4096) {
+		l := crux.Listing{Replica: e.Str("name", true, 64), State: e.Str("state", true, 16)}
+		if l.State != "present" && l.State != "leaving" && l.State != "gone" && l.State != "" {
+			e.Flaw(e.At("state"), l.State, "present, leaving or gone")
+		}
+		e.Shut()
+		op.Rows = append(op.Rows, l)
+	}
+	d.Shut()
+	if err = d.Err(); err != nil {
+		return refuse(w, err)
+	}
+	if a := o.C.Call(op); a.Err != nil {
+		return refuse(w, a.Err)
+	}
+	return reply(w, http.StatusOK, map[string]string{"taken": fmt.Sprint(len(op.Rows))})
+}
--- /dev/null
+++ b/hearth/follow.go
@@ -0,0 +1,130 @@
+package hearth
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/wire"
+)
+
+const followQueue = 1024
+
+type follower struct {
+	id int
+	q  chan any
+	n  uint64
+}
+
+type followers struct {
+	h    *Hearth
+	all  []*follower
+	last map[string]mallowbridge.Event
+}
+
+func newFollowers(h *Hearth) (fs *followers) {
+	return &followers{h: h, last: map[string]mallowbridge.Event{}}
+}
+
+func (fs *followers) tell(ev mallowbridge.Event) {
+	switch e := ev.(type) {
+	case mallowbridge.Order:
+		fs.last["0"] = e
+	case mallowbridge.Routers:
+		fs.last["1"] = e
+	case mallowbridge.Usage:
+		fs.last["2"+e.Replica] = e
+	case mallowbridge.Listing:
+		fs.last["3"+e.Replica] = e
+	case mallowbridge.Feed:
+		fs.last["4"] = e
+	}
+	for _, f := range fs.all {
+		f.send(ev)
+	}
+}
+
+func (f *follower) send(ev mallowbridge.Event) {
+	select {
+	case f.q <- mallowbridge.Numbered{N: f.n, Event: ev}:
+	default:
+	}
+	f.n++
+}
+
+func (fs *followers) join(f *follower, n *crux.Node) (in crux.In) {
+	taken := map[int]bool{}
+	for _, o := range fs.all {
+		taken[o.id] = true
+	}
+	for f.id = 1; taken[f.id]; f.id++ {
+	}
+	f.q <- mallowbridge.Welcome{Self: fs.h.S.Name + "#" + strconv.Itoa(f.id), Domain: fs.h.S.Domain, Boot: fs.h.boot}
+	for _, key := range sorted(fs.last) {
+		f.send(fs.last[key])
+	}
+	fs.all = append(fs.all, f)
+	return fs.count()
+}
+
+func (fs *followers) leave(f *follower) (in crux.In) {
+	for i, o := range fs.all {
+		if o == f {
+			fs.all = append(fs.all[:i], fs.all[i+1:]...)
+			break
+		}
+	}
+	return fs.count()
+}
+
+func (fs *followers) count() (in crux.In) {
+	most := 0
+	for _, f := range fs.all {
+		most = max(most, f.id)
+	}
+	return crux.Command{Op: crux.Libs{N: most}}
+}
+
+func (h *Hearth) follow(conn net.Conn, _ wire.Hello, r *wire.Reader) {
+	f := &follower{q: make(chan any, followQueue)}
+	select {
+	case h.joins <- f:
+	case <-h.T.Dying():
+		return
+	}
+	gone := make(chan struct{})
+	go func() {
+		_, _ = r.Next()
+		close(gone)
+	}()
+	w := wire.NewWriter()
+	h.pump(conn, w, f, gone)
+	_ = conn.Close()
+	select {
+	case h.leaves <- f:
+	case <-h.T.Dying():
+	}
+}
+
+func (h *Hearth) pump(conn net.Conn, w *wire.Writer, f *follower, gone chan struct{}) {
+	for {
+		select {
+		case <-h.T.Dying():
+			return
+		case <-gone:
+			return
+		case msg := <-f.q:
+			frame, err := w.Frame(msg)
+			if err != nil {
+				h.fault("follower", err)
+				return
+			}
+			_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
+			if _, err = conn.Write(frame); err != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/hearth/hearth.go
@@ -0,0 +1,221 @@
+package hearth
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"strconv"
+	"time"
+
+	"github.com/phuslu/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/rumor"
+	"github.com/mallowbridge/mallowbridge/vault"
+	"github.com/mallowbridge/mallowbridge/wire"
+)
+
+const (
+	ticks     = 50 * time.Millisecond
+	deskTicks = 10 * time.Millisecond
+)
+
+type Hearth struct {
+	S      Settings
+	T      *tomb.Tomb
+	Log    *log.Logger
+	Desk   *mallowbridge.Desk
+	Net    *wire.Net
+	in     chan crux.In
+	calls  chan call
+	writes chan []crux.Write
+	joins  chan *follower
+	leaves chan *follower
+	node   *crux.Node
+	keeper *crux.Keeper
+	boot   string
+}
+
+type call struct {
+	op    crux.Op
+	look  func(n *crux.Node)
+	reply chan crux.Answer
+}
+
+func seed() (n uint64) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
+	return binary.BigEndian.Uint64(b[:])
+}
+
+func diskID() (id string) {
+	var b [16]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
+	return hex.EncodeToString(b[:])
+}
+
+func Start(t *tomb.Tomb, s Settings, lg *log.Logger) (h *Hearth, err error) {
+	inc := uint64(time.Now().UnixMilli())
+	h = &Hearth{
+		S: s, T: t, Log: lg, in: make(chan crux.In, 1024), calls: make(chan call, 64), writes: make(chan []crux.Write, 1024),
+		joins: make(chan *follower), leaves: make(chan *follower), boot: strconv.FormatUint(inc, 36),
+	}
+	cfg := crux.Config{
+		Name: s.Name, Addr: s.Listen, HTTP: s.HTTP, Domain: s.Domain, Seeds: s.Seeds, Inc: inc, Seed: seed(),
+		Kin: kin.Defaults(), Rumor: rumor.Defaults(),
+	}
+	if s.Data != "" {
+		folder, err := vault.OpenFolder(s.Data)
+		if err != nil {
+			return nil, err
+		}
+		if h.keeper, err = crux.OpenKeeper(folder, diskID()); err != nil {
+			return nil, err
+		}
+		if what := h.keeper.Repair(); what != "" {
+			lg.Warn().Str("what", what).Msg("disk was repaired")
+		}
+		kept := h.keeper.Kept()
+		cfg.Disk = &kept
+	}
+	rc := mallowbridge.Defaults(s.Name, h.boot, s.Domain)
+	rc.Market.Backlog = s.Backlog
+	h.Desk = mallowbridge.NewDesk(t, mallowbridge.New(rc), Clock, deskTicks)
+	h.node = crux.New(Clock(), cfg)
+	self := wire.Hello{Build: wire.Build, Name: s.Name, Addr: s.Listen, Role: s.Role}
+	if h.Net, err = wire.Listen(t, self, h.follow, h.fault); err != nil {
+		return nil, err
+	}
+	if h.keeper != nil {
+		t.Go(h.keep)
+	}
+	t.Go(h.control)
+	return h, nil
+}
+
+func (h *Hearth) fault(peer string, err error) {
+	h.Log.Warn().Str("peer", peer).Err(err).Msg("connection closed")
+}
+
+func (h *Hearth) control() (err error) {
+	tick := time.NewTicker(ticks)
+	defer tick.Stop()
+	replies := map[uint64]chan crux.Answer{}
+	fs := newFollowers(h)
+	id := uint64(0)
+	for {
+		var in crux.In
+		select {
+		case <-h.T.Dying():
+			return nil
+		case <-tick.C:
+			in = crux.Tick{}
+		case m := <-h.Net.In:
+			in = crux.Recv{From: m.Hello.Addr, Msg: m.Msg}
+		case in = <-h.in:
+		case f := <-h.joins:
+			in = fs.join(f, h.node)
+		case f := <-h.leaves:
+			in = fs.leave(f)
+		case c := <-h.calls:
+			if c.look != nil {
+				c.look(h.node)
+				c.reply <- crux.Answer{}
+				continue
+			}
+			id++
+			replies[id] = c.reply
+			in = crux.Command{ID: id, Op: c.op}
+		}
+		out := h.node.Step(Clock(), in)
+		h.carry(out, fs)
+		for _, a := range out.Answers {
+			if r := replies[a.ID]; r != nil {
+				delete(replies, a.ID)
+				r <- a
+			}
+		}
+	}
+}
+
+func (h *Hearth) carry(out crux.Out, fs *followers) {
+	if len(out.Writes) > 0 {
+		h.writes <- out.Writes
+	}
+	for _, s := range out.Sends {
+		h.Net.Send(s.To, s.Msg)
+	}
+	for _, ev := range out.Events {
+		h.Desk.Tell(ev)
+		fs.tell(ev)
+	}
+	for _, p := range out.Probes {
+		h.T.Go(func() error {
+			h.probe(p)
+			return nil
+		})
+	}
+	for _, c := range out.Changes {
+		h.Log.Info().Str("what", c.What).Str("detail", c.Detail).Msg("change")
+	}
+}
+
+func (h *Hearth) keep() (err error) {
+	for {
+		select {
+		case <-h.T.Dying():
+			return nil
+		case ws := <-h.writes:
+			for more := true; more; {
+				select {
+				case next := <-h.writes:
+					ws = append(ws, next...)
+				default:
+					more = false
+				}
+			}
+			err := h.keeper.Save(ws)
+			h.give(crux.Saved{Ticket: ws[len(ws)-1].Ticket, Err: err})
+		}
+	}
+}
+
+func (h *Hearth) give(in crux.In) {
+	select {
+	case h.in <- in:
+	case <-h.T.Dying():
+	}
+}
+
+func (h *Hearth) Call(op crux.Op) (a crux.Answer) {
+	return h.call(call{op: op, reply: make(chan crux.Answer, 1)})
+}
+
+func (h *Hearth) Look(look func(n *crux.Node)) {
+	h.call(call{look: look, reply: make(chan crux.Answer, 1)})
+}
+
+func (h *Hearth) call(c call) (a crux.Answer) {
+	select {
+	case h.calls <- c:
+	case <-h.T.Dying():
+		return crux.Answer{Err: &StoppingError{}}
+	}
+	select {
+	case a = <-c.reply:
+		return a
+	case <-h.T.Dying():
+		return crux.Answer{Err: &StoppingError{}}
+	}
+}
+
+type StoppingError struct{}
+
+func (e *StoppingError) Error() (text string) { return "node is stopping" }
--- /dev/null
+++ b/hearth/probe.go
@@ -0,0 +1,64 @@
+package hearth
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+const (
+	probeFor   = 400 * time.Millisecond
+	probeBytes = 64 << 10
+)
+
+func sorted(m map[string]mallowbridge.Event) (keys []string) {
+	return slices.Sorted(maps.Keys(m))
+}
+
+var prober = &http.Client{
+	Transport:     &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
+type usage struct {
+	InstanceID string `json:"instanceId"`
+	Running    int    `json:"running"`
+	Leaving    bool   `json:"leaving"`
+	LagMs      int    `json:"lagMs"`
+}
+
+func (h *Hearth) probe(p crux.Probe) {
+	h.give(ask(p))
+}
+
+func ask(p crux.Probe) (res crux.Probed) {
+	res = crux.Probed{Replica: p.Replica}
+	ctx, stop := context.WithTimeout(context.Background(), probeFor)
+	defer stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Addr+"/v1/usage", nil)
+	if err != nil {
+		return res
+	}
+	resp, err := prober.Do(req)
+	if err != nil {
+		return res
+	}
+	defer resp.Body.Close()
+	var u usage
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(io.LimitReader(resp.Body, probeBytes)).Decode(&u) != nil {
+		return res
+	}
+	if u.InstanceID == "" || u.Running < 0 || u.LagMs < 0 {
+		return res
+	}
+	res.OK, res.InstanceID, res.Running, res.Leaving = true, u.InstanceID, u.Running, u.Leaving
+	res.Lag = time.Duration(u.LagMs) * time.Millisecond
+	return res
+}
--- /dev/null
+++ b/hearth/settings.go
@@ -0,0 +1,99 @@
+package hearth
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+)
+
+type Settings struct {
+	Role, Name, Listen, HTTP, Domain, Data string
+	Seeds                                  []string
+	MaxBody, MaxStreams, Backlog           int
+	DrainMs                                int
+}
+
+func (s Settings) withDefaults() (full Settings) {
+	full = s
+	for _, d := range []struct {
+		at  *int
+		def int
+	}{{&full.MaxBody, 1 << 20}, {&full.MaxStreams, 1024}, {&full.Backlog, 256}, {&full.DrainMs, 10000}} {
+		if *d.at == 0 {
+			*d.at = d.def
+		}
+	}
+	return full
+}
+
+type FileError struct{ Path, Why string }
+
+func (e *FileError) Error() (text string) { return "settings file " + e.Path + ": " + e.Why }
+
+func ReadSettings(path string) (s Settings, err error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return s, trace.Wrap(&FileError{Path: path, Why: err.Error()})
+	}
+	d, err := charter.Open(raw)
+	if err != nil {
+		return s, err
+	}
+	s.Name, s.Listen, s.HTTP = d.Str("name", false, 64), d.Str("listen", false, 64), d.Str("http", false, 64)
+	s.Domain, s.Data = d.Str("domain", false, 64), d.Str("data", false, 4096)
+	for _, e := range d.List("seeds", 0, 16) {
+		s.Seeds = append(s.Seeds, e.Text(64))
+	}
+	s.MaxBody = d.Int("maxBody", 0, 1, 64<<20)
+	s.MaxStreams = d.Int("maxStreams", 0, 1, 1<<20)
+	s.Backlog = d.Int("backlog", 0, 1, 1<<16)
+	s.DrainMs = d.Int("drainMs", 0, 1, 600000)
+	d.Shut()
+	return s, d.Err()
+}
+
+func Check(in Settings) (s Settings, err error) {
+	s = in.withDefaults()
+	bad := &charter.BadError{}
+	flaw := func(field, val, bound string) {
+		bad.Flaws = append(bad.Flaws, charter.Flaw{Path: field, Value: fmt.Sprintf("%q", val), Bound: bound})
+	}
+	if s.Name == "" || len(s.Name) > 64 {
+		flaw("name", s.Name, "1 to 64 bytes")
+	}
+	if s.Domain == "" || len(s.Domain) > 64 {
+		flaw("domain", s.Domain, "1 to 64 bytes")
+	}
+	for field, addr := range map[string]string{"listen": s.Listen, "http": s.HTTP} {
+		if _, e := netip.ParseAddrPort(addr); e != nil {
+			flaw(field, addr, "an IP number and port")
+		}
+	}
+	for i, addr := range s.Seeds {
+		if _, e := netip.ParseAddrPort(addr); e != nil {
+			flaw(fmt.Sprintf("seeds[%d]", i), addr, "an IP number and port")
+		}
+	}
+	if s.Role == "core" && s.Data == "" {
+		flaw("data", s.Data, "a folder, for a core")
+	}
+	if s.Role == "edge" && s.Data != "" {
+		flaw("data", s.Data, "absent, for an edge")
+	}
+	for _, n := range []struct {
+		field    string
+		val, max int
+	}{{"maxBody", s.MaxBody, 64 << 20}, {"maxStreams", s.MaxStreams, 1 << 20}, {"backlog", s.Backlog, 1 << 16}, {"drainMs", s.DrainMs, 600000}} {
+		if n.val < 1 || n.val > n.max {
+			flaw(n.field, fmt.Sprint(n.val), fmt.Sprintf("1 to %d", n.max))
+		}
+	}
+	if len(bad.Flaws) > 0 {
+		return s, trace.Wrap(bad)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/hint/ttl.go
@@ -0,0 +1,56 @@
+package hint
+
+import (
+	"slices"
+	"time"
+)
+
+type ttl struct {
+	cfg     Config
+	now     time.Duration
+	cap     time.Duration
+	ring    []time.Duration
+	next    int
+	fresh   int
+	checked time.Duration
+}
+
+func newTTL(cfg Config) (t ttl) {
+	return ttl{cfg: cfg, now: min(cfg.Start, cfg.Cap), cap: cfg.Cap}
+}
+
+func (t *ttl) limit(stale time.Duration) {
+	t.cap = min(stale, t.cfg.Cap)
+	t.now = min(t.now, t.cap)
+}
+
+func (t *ttl) sample(took time.Duration) {
+	t.fresh++
+	if len(t.ring) < t.cfg.Window {
+		t.ring = append(t.ring, took)
+		return
+	}
+	t.ring[t.next] = took
+	t.next = (t.next + 1) % t.cfg.Window
+}
+
+func (t *ttl) adjust(now time.Duration) {
+	if now-t.checked < time.Second {
+		return
+	}
+	t.checked = now
+	if len(t.ring) < t.cfg.Enough || t.fresh == 0 {
+		return
+	}
+	t.fresh = 0
+	aim := min(max(t.percentile()+t.cfg.Slack, t.cfg.Floor), t.cap)
+	most := time.Duration(float64(t.now) * t.cfg.Step)
+	t.now += min(max(aim-t.now, -most), most)
+	t.now = min(t.now, t.cap)
+}
+
+func (t *ttl) percentile() (d time.Duration) {
+	sorted := slices.Clone(t.ring)
+	slices.Sort(sorted)
+	return sorted[min(int(float64(len(sorted))*t.cfg.Percentile), len(sorted)-1)]
+}
--- /dev/null
+++ b/kin/watch.go
@@ -0,0 +1,266 @@
+package kin
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+type Config struct {
+	Every   time.Duration
+	Direct  time.Duration
+	Via     time.Duration
+	Suspect time.Duration
+	Gap     time.Duration
+	Alone   time.Duration
+	Helpers int
+	Grace   time.Duration
+}
+
+func Defaults() (c Config) {
+	return Config{
+		Every: 400 * time.Millisecond, Direct: 350 * time.Millisecond, Via: 350 * time.Millisecond,
+		Suspect: 900 * time.Millisecond, Gap: time.Second, Alone: 1500 * time.Millisecond, Helpers: 2, Grace: 2 * time.Second,
+	}
+}
+
+type Ping struct {
+	Seq  uint64
+	Name string
+}
+
+type Ack struct{ Seq uint64 }
+
+type PingFor struct {
+	Seq  uint64
+	Addr string
+	Name string
+}
+
+type Send struct {
+	To  string
+	Msg any
+}
+
+type probe struct {
+	target string
+	sent   time.Duration
+	helped bool
+}
+
+type relay struct {
+	to   string
+	seq  uint64
+	born time.Duration
+}
+
+type Kin struct {
+	cfg     Config
+	Self    Member
+	Table   Table
+	rng     *rand.Rand
+	seq     uint64
+	probes  map[uint64]*probe
+	relays  map[uint64]relay
+	last    map[string]time.Duration
+	suspect map[string]time.Duration
+	dead    map[string]time.Duration
+	heard   time.Duration
+	ticked  time.Duration
+	news    []Member
+	Woke    bool
+	Deaths  uint64
+	Refutes uint64
+}
+
+func New(cfg Config, self Member, seed uint64, now time.Duration) (k *Kin) {
+	k = &Kin{
+		cfg: cfg, Self: self, rng: rand.New(rand.NewPCG(seed, 13)), probes: map[uint64]*probe{}, relays: map[uint64]relay{},
+		last: map[string]time.Duration{}, suspect: map[string]time.Duration{}, dead: map[string]time.Duration{}, heard: now, ticked: now,
+	}
+	k.Table.rows = map[string]Member{self.Name: self}
+	k.news = []Member{self}
+	return k
+}
+
+func (k *Kin) TakeNews() (ms []Member) {
+	ms, k.news = k.news, nil
+	return ms
+}
+
+func (k *Kin) set(now time.Duration, m Member) {
+	old, had := k.Table.rows[m.Name]
+	k.Table.rows[m.Name] = m
+	k.news = append(k.news, m)
+	if m.State != Suspect {
+		delete(k.suspect, m.Name)
+	}
+	switch {
+	case m.State == Suspect:
+		k.suspect[m.Name] = now
+	case !m.Live() && (!had || old.Live()):
+		k.dead[m.Name] = now
+		k.Deaths++
+	case m.Live():
+		delete(k.dead, m.Name)
+	}
+	if m.Inc > old.Inc {
+		k.forget(m.Name)
+	}
+}
+
+func (k *Kin) forget(target string) {
+	for seq, p := range k.probes {
+		if p.target == target {
+			delete(k.probes, seq)
+		}
+	}
+}
+
+func (k *Kin) Update(now time.Duration, change func(m *Member)) {
+	change(&k.Self)
+	k.Self.Inc++
+	k.set(now, k.Self)
+}
+
+func (k *Kin) Hear(now time.Duration, m Member) {
+	if m.Name == k.Self.Name {
+		if m.Inc > k.Self.Inc || (m.Inc == k.Self.Inc && m.State != k.Self.State) {
+			k.Refutes++
+			k.Self.Inc = m.Inc
+			k.Update(now, func(*Member) {})
+		}
+		return
+	}
+	if old, ok := k.Table.rows[m.Name]; ok && !m.Newer(old) {
+		return
+	}
+	k.set(now, m)
+}
+
+func (k *Kin) Heard(now time.Duration) { k.heard = now }
+
+func (k *Kin) Others() (n int) {
+	for _, m := range k.Table.rows {
+		if m.Name != k.Self.Name && m.State != Left {
+			n++
+		}
+	}
+	return n
+}
+
+func (k *Kin) Alone(now time.Duration) (yes bool) {
+	return k.Others() > 0 && now-k.heard > k.cfg.Alone
+}
+
+func (k *Kin) OnPing(from string, m Ping) (sends []Send) {
+	if m.Name != k.Self.Name {
+		return nil
+	}
+	return []Send{{To: from, Msg: Ack{Seq: m.Seq}}}
+}
+
+func (k *Kin) OnPingFor(now time.Duration, from string, m PingFor) (sends []Send) {
+	k.seq++
+	k.relays[k.seq] = relay{to: from, seq: m.Seq, born: now}
+	return []Send{{To: m.Addr, Msg: Ping{Seq: k.seq, Name: m.Name}}}
+}
+
+func (k *Kin) OnAck(now time.Duration, m Ack) (sends []Send) {
+	if r, ok := k.relays[m.Seq]; ok {
+		delete(k.relays, m.Seq)
+		return []Send{{To: r.to, Msg: Ack{Seq: r.seq}}}
+	}
+	if p, ok := k.probes[m.Seq]; ok {
+		delete(k.probes, m.Seq)
+		k.last[p.target] = now
+	}
+	return nil
+}
+
+func (k *Kin) Tick(now time.Duration) (sends []Send) {
+	if now-k.ticked > k.cfg.Gap {
+		k.Woke = true
+		k.probes = map[uint64]*probe{}
+		for name := range k.suspect {
+			k.suspect[name] = now
+		}
+	}
+	k.ticked = now
+	all := k.Table.All()
+	for _, m := range all {
+		if at, ok := k.suspect[m.Name]; ok && now-at >= k.cfg.Suspect && m.State == Suspect {
+			m.State = Dead
+			k.set(now, m)
+		}
+	}
+	sends = k.overdue(now, all)
+	for _, m := range all {
+		if m.Name == k.Self.Name || m.State == Left || now-k.last[m.Name] < k.cfg.Every {
+			continue
+		}
+		slow := m.State == Dead
+		if slow && now-k.last[m.Name] < 5*k.cfg.Every {
+			continue
+		}
+		if !slow && !slices.Contains(Watchers(m, all), k.Self.Name) {
+			continue
+		}
+		k.last[m.Name] = now
+		k.seq++
+		k.probes[k.seq] = &probe{target: m.Name, sent: now, helped: slow}
+		sends = append(sends, Send{To: m.Addr, Msg: Ping{Seq: k.seq, Name: m.Name}})
+	}
+	return sends
+}
+
+func (k *Kin) overdue(now time.Duration, all []Member) (sends []Send) {
+	var seqs []uint64
+	for seq := range k.probes {
+		seqs = append(seqs, seq)
+	}
+	slices.Sort(seqs)
+	for _, seq := range seqs {
+		p := k.probes[seq]
+		m := k.Table.rows[p.target]
+		if !p.helped && now-p.sent >= k.cfg.Direct {
+			p.helped = true
+			for _, h := range k.helpers(all, p.target) {
+				sends = append(sends, Send{To: h.Addr, Msg: PingFor{Seq: seq, Addr: m.Addr, Name: m.Name}})
+			}
+		}
+		if now-p.sent < k.cfg.Direct+k.cfg.Via {
+			continue
+		}
+		delete(k.probes, seq)
+		if m.State == Alive && !k.Alone(now) {
+			m.State = Suspect
+			k.set(now, m)
+		}
+	}
+	for seq, r := range k.relays {
+		if now-r.born > 5*time.Second {
+			delete(k.relays, seq)
+		}
+	}
+	return sends
+}
+
+func (k *Kin) helpers(all []Member, target string) (ms []Member) {
+	for _, m := range all {
+		if m.State == Alive && m.Name != k.Self.Name && m.Name != target {
+			ms = append(ms, m)
+		}
+	}
+	k.rng.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
+	return ms[:min(k.cfg.Helpers, len(ms))]
+}
+
+func (k *Kin) Routers(now time.Duration) (names []Member) {
+	for _, m := range k.Table.All() {
+		if m.Live() || (m.State == Dead && now-k.dead[m.Name] < k.cfg.Grace) {
+			names = append(names, m)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/order.go
@@ -0,0 +1,135 @@
+package mallowbridge
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/bid"
+	"github.com/mallowbridge/mallowbridge/charter"
+)
+
+func (r *Router) order(now time.Duration, p *charter.Picture) {
+	if p == nil || (r.pic != nil && p.Mark <= r.pic.Mark) {
+		return
+	}
+	r.pic = p
+	for i := range r.m.Reps {
+		r.m.Reps[i].Listed = false
+	}
+	for i := range r.m.Offers {
+		r.m.Offers[i].Reps = r.m.Offers[i].Reps[:0]
+	}
+	offers := map[string]int{}
+	cap := 2 * time.Second
+	for _, o := range p.Charter.Offers {
+		offers[o.Name] = r.offer(now, o)
+		cap = min(cap, o.StaleCap)
+	}
+	r.offers = offers
+	r.m.Index.SetCap(cap)
+	r.m.Retune()
+}
+
+func (r *Router) offer(now time.Duration, o charter.Offer) (id int) {
+	id = -1
+	for i := range r.m.Offers {
+		if r.m.Offers[i].Name == o.Name {
+			id = i
+		}
+	}
+	if id < 0 {
+		id = r.m.AddOffer(bid.Offer{Name: o.Name})
+		r.kinds = append(r.kinds, nil)
+	}
+	row := &r.m.Offers[id]
+	row.ColdRoom, row.ColdRamp, row.Base, row.PerToken = o.ColdRoom, o.ColdRamp, o.Base, o.PerToken
+	row.CrossCost, row.SecondShare, row.SecondPlus = o.CrossCost, o.SecondShare, o.SecondPlus
+	row.Split = false
+	if r.kinds[id] == nil {
+		r.kinds[id] = map[string]int{}
+	}
+	known := r.kinds[id]
+	next := map[string]int{}
+	for _, k := range o.Kinds {
+		at, ok := known[k.Name]
+		if !ok {
+			at = len(row.Kinds)
+			row.Kinds = append(row.Kinds, bid.Kind{})
+		}
+		next[k.Name] = at
+		row.Kinds[at] = bid.Kind{Value: k.Value, Urgency: k.Urgency, Bound: k.FirstToken, Repeatable: k.Repeatable}
+	}
+	r.kinds[id] = next
+	for _, c := range o.Replicas {
+		row.Split = row.Split || c.Role == "prefill"
+		row.Reps = append(row.Reps, r.replica(now, id, o.KeepTokens, c))
+	}
+	return id
+}
+
+func (r *Router) replica(now time.Duration, offer, keep int, c charter.Replica) (id int) {
+	id, ok := r.reps[c.Name]
+	if !ok {
+		id = r.m.AddReplica(bid.Replica{Name: c.Name}, keep)
+		r.reps[c.Name] = id
+		r.seats = append(r.seats, seat{name: c.Name})
+	}
+	s, row := &r.seats[id], &r.m.Reps[id]
+	if s.addr != "" && s.addr != c.Addr {
+		s.instance, row.Up = "", false
+		r.m.Index.Reset(id, 0)
+	}
+	s.addr = c.Addr
+	row.Offer, row.Role, row.Room, row.Listed = offer, c.Role, c.Room, true
+	row.Near = c.Domain == r.cfg.Domain
+	row.Emptied = r.pic.Empty(c.Domain)
+	r.m.Index.SetKeep(id, keep)
+	return id
+}
+
+func (r *Router) listing(e Listing) {
+	id, ok := r.reps[e.Replica]
+	if !ok {
+		return
+	}
+	r.seats[id].listing = e.State
+	row := &r.m.Reps[id]
+	row.Leaving = e.State == "leaving" || e.State == "gone"
+	if e.State == "gone" {
+		row.Up = false
+		r.seats[id].instance = ""
+		r.m.Index.Reset(id, 0)
+	}
+}
+
+func (r *Router) usage(now time.Duration, e Usage) {
+	id, ok := r.reps[e.Replica]
+	if !ok {
+		return
+	}
+	row, s := &r.m.Reps[id], &r.seats[id]
+	if e.Down {
+		row.Up = false
+		return
+	}
+	back := !row.Up && s.instance != ""
+	if e.InstanceID != s.instance {
+		r.instance(now, id, e.InstanceID, e.Age, 0)
+	} else if back {
+		r.m.Cold(now, id, e.Age)
+	}
+	row.Up = true
+	row.Leaving = e.Leaving || s.listing == "leaving" || s.listing == "gone"
+	r.m.Report(now-e.Lag, id, e.Running)
+}
+
+func (r *Router) instance(now time.Duration, id int, inst string, age time.Duration, spared uint64) {
+	s := &r.seats[id]
+	if s.instance == inst {
+		return
+	}
+	if s.instance != "" {
+		r.m.Index.Reset(id, spared)
+	}
+	s.instance = inst
+	r.m.Cold(now, id, age)
+}
--- /dev/null
+++ b/pact/proposer.go
@@ -0,0 +1,186 @@
+package pact
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+type ConflictError struct{ Mark uint64 }
+
+func (e *ConflictError) Error() (text string) {
+	return fmt.Sprintf("mark is %d by now", e.Mark)
+}
+
+type UnreachedError struct{}
+
+func (e *UnreachedError) Error() (text string) {
+	return "no majority of voters was reached and nothing was changed"
+}
+
+type UnknownError struct{}
+
+func (e *UnknownError) Error() (text string) {
+	return "the change may or may not have been accepted"
+}
+
+type UnfoundedError struct{}
+
+func (e *UnfoundedError) Error() (text string) { return "the register has not been founded" }
+
+type Change func(cur *Value) (next *Value, err error)
+
+type Result struct {
+	ID    uint64
+	Value *Value
+	Err   error
+}
+
+type Send struct {
+	Disk string
+	Msg  any
+}
+
+type task struct {
+	id       uint64
+	change   Change
+	deadline time.Duration
+	exposed  bool
+	found    bool
+	full     bool
+}
+
+type phase uint8
+
+const (
+	idle phase = iota
+	preparing
+	accepting
+	waiting
+)
+
+type Proposer struct {
+	By    string
+	Round time.Duration
+	rng   *rand.Rand
+
+	seats   *Value
+	backlog []*task
+	cur     *task
+	phase   phase
+	ballot  Ballot
+	top     uint64
+	rid     uint64
+	until   time.Duration
+	tries   int
+	got     map[string]Promise
+	yes     map[string]bool
+	asked   map[string]bool
+	offered *Value
+	results []Result
+	sends   []Send
+}
+
+func NewProposer(by string, seed uint64) (p *Proposer) {
+	return &Proposer{By: by, Round: 400 * time.Millisecond, rng: rand.New(rand.NewPCG(seed, 7))}
+}
+
+func (p *Proposer) Learn(v *Value) {
+	if v != nil && v.Newer(p.seats) {
+		p.seats = v
+	}
+}
+
+func (p *Proposer) Busy() (n int) { return len(p.backlog) + btoi(p.cur != nil) }
+
+func btoi(b bool) (n int) {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (p *Proposer) Do(now, deadline time.Duration, id uint64, change Change, full bool) {
+	p.backlog = append(p.backlog, &task{id: id, change: change, deadline: deadline, full: full})
+	p.turn(now)
+}
+
+func (p *Proposer) Found(now, deadline time.Duration, id uint64, first *Value) {
+	change := func(cur *Value) (*Value, error) { return first, nil }
+	p.backlog = append(p.backlog, &task{id: id, change: change, deadline: deadline, found: true})
+	p.seats = first
+	p.turn(now)
+}
+
+func (p *Proposer) Take() (sends []Send, results []Result) {
+	sends, results = p.sends, p.results
+	p.sends, p.results = nil, nil
+	return sends, results
+}
+
+func (p *Proposer) turn(now time.Duration) {
+	for p.cur == nil && len(p.backlog) > 0 {
+		p.cur, p.backlog = p.backlog[0], p.backlog[1:]
+		p.tries = 0
+		p.prepare(now)
+	}
+}
+
+func (p *Proposer) end(now time.Duration, v *Value, err error) {
+	p.results = append(p.results, Result{ID: p.cur.id, Value: v, Err: err})
+	p.cur, p.phase = nil, idle
+	p.turn(now)
+}
+
+func (p *Proposer) prepare(now time.Duration) {
+	if p.seats == nil {
+		p.end(now, nil, &UnfoundedError{})
+		return
+	}
+	p.top++
+	p.rid++
+	p.ballot = Ballot{N: p.top, By: p.By}
+	p.phase, p.until = preparing, now+p.Round
+	p.got, p.yes = map[string]Promise{}, map[string]bool{}
+	p.asked = map[string]bool{}
+	p.ask(p.seats.All())
+}
+
+func (p *Proposer) ask(set []Voter) {
+	for _, v := range set {
+		if !p.asked[v.Disk] {
+			p.asked[v.Disk] = true
+			p.sends = append(p.sends, Send{Disk: v.Disk, Msg: Prepare{Rid: p.rid, Disk: v.Disk, Ballot: p.ballot}})
+		}
+	}
+}
+
+func (p *Proposer) retry(now time.Duration) {
+	p.tries++
+	p.phase = waiting
+	most := int64(20*time.Millisecond) << min(p.tries, 5)
+	p.until = now + time.Duration(p.rng.Int64N(most)) + time.Millisecond
+}
+
+func (p *Proposer) Tick(now time.Duration) {
+	if p.cur == nil {
+		return
+	}
+	if now >= p.cur.deadline {
+		if p.cur.exposed {
+			p.end(now, nil, &UnknownError{})
+			return
+		}
+		p.end(now, nil, &UnreachedError{})
+		return
+	}
+	if now < p.until {
+		return
+	}
+	switch p.phase {
+	case waiting:
+		p.prepare(now)
+	case preparing, accepting:
+		p.settle(now)
+	}
+}
--- /dev/null
+++ b/pact/rounds.go
@@ -0,0 +1,166 @@
+package pact
+
+import "time"
+
+func (p *Proposer) OnPromise(now time.Duration, r Promise) {
+	if p.cur == nil || p.phase != preparing || r.Rid != p.rid {
+		p.top = max(p.top, r.Promised.N)
+		return
+	}
+	p.top = max(p.top, r.Promised.N)
+	if !r.OK {
+		p.retry(now)
+		return
+	}
+	p.got[r.Disk] = r
+	if p.cur.found {
+		p.founded(now)
+		return
+	}
+	if best := p.best(); best != nil {
+		p.seats = best
+		p.ask(best.All())
+	}
+	if len(p.got) == len(p.asked) || (!p.cur.full && p.hasQuorum()) {
+		p.settle(now)
+	}
+}
+
+func (p *Proposer) hasQuorum() (yes bool) {
+	return Quorum(p.seats, func(d string) bool { _, ok := p.got[d]; return ok })
+}
+
+func (p *Proposer) best() (v *Value) {
+	var top Ballot
+	for _, r := range p.got {
+		if r.Value != nil && (v == nil || top.Less(r.Accepted)) {
+			v, top = r.Value, r.Accepted
+		}
+	}
+	return v
+}
+
+func (p *Proposer) founded(now time.Duration) {
+	best := p.best()
+	if best != nil && best.Fleet != p.seats.Fleet {
+		p.cur.found = false
+		p.seats = best
+		p.cur.change = func(cur *Value) (*Value, error) { return nil, &ConflictError{Mark: cur.Mark} }
+		p.prepare(now)
+		return
+	}
+	if len(p.got) == len(p.seats.All()) {
+		p.offer(now, p.seats)
+	}
+}
+
+func (p *Proposer) read(now time.Duration) {
+	base := p.best()
+	if base == nil {
+		p.end(now, nil, &UnfoundedError{})
+		return
+	}
+	next := base
+	if p.cur.change != nil {
+		changed, err := p.cur.change(base.Clone())
+		if err != nil && p.chosen() {
+			p.end(now, base, err)
+			return
+		}
+		if err == nil && changed != nil {
+			next = changed
+		}
+	}
+	if next == base && p.chosen() && (!p.cur.full || p.everywhere()) {
+		p.end(now, base, nil)
+		return
+	}
+	p.offer(now, next)
+}
+
+func (p *Proposer) chosen() (yes bool) {
+	top := p.topAccepted()
+	return Quorum(p.seats, func(d string) bool {
+		r, ok := p.got[d]
+		return ok && r.Accepted == top
+	})
+}
+
+func (p *Proposer) topAccepted() (top Ballot) {
+	for _, r := range p.got {
+		if r.Value != nil && top.Less(r.Accepted) {
+			top = r.Accepted
+		}
+	}
+	return top
+}
+
+func (p *Proposer) everywhere() (yes bool) {
+	top := p.topAccepted()
+	for _, v := range p.seats.All() {
+		if r, ok := p.got[v.Disk]; !ok || r.Accepted != top {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Proposer) offer(now time.Duration, v *Value) {
+	p.rid++
+	p.phase, p.until, p.offered = accepting, now+p.Round, v
+	p.yes = map[string]bool{}
+	p.cur.exposed = p.cur.exposed || p.cur.change != nil
+	to := p.seats.All()
+	for _, s := range v.All() {
+		if !contains(to, s.Disk) {
+			to = append(to, s)
+		}
+	}
+	for _, s := range to {
+		p.sends = append(p.sends, Send{Disk: s.Disk, Msg: Accept{Rid: p.rid, Disk: s.Disk, Ballot: p.ballot, Value: v}})
+	}
+}
+
+func contains(vs []Voter, disk string) (yes bool) {
+	for _, v := range vs {
+		if v.Disk == disk {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Proposer) OnAccepted(now time.Duration, r Accepted) {
+	p.top = max(p.top, r.Promised.N)
+	if p.cur == nil || p.phase != accepting || r.Rid != p.rid {
+		return
+	}
+	if !r.OK {
+		if contains(p.seats.All(), r.Disk) {
+			p.retry(now)
+		}
+		return
+	}
+	p.yes[r.Disk] = true
+	if !Quorum(p.seats, func(d string) bool { return p.yes[d] }) {
+		return
+	}
+	p.seats = p.offered
+	p.end(now, p.offered, p.verdict())
+}
+
+func (p *Proposer) verdict() (err error) {
+	if p.cur.change == nil {
+		return nil
+	}
+	_, err = p.cur.change(p.offered.Clone())
+	return err
+}
+
+func (p *Proposer) settle(now time.Duration) {
+	if p.phase == preparing && !p.cur.found && p.hasQuorum() {
+		p.read(now)
+		return
+	}
+	p.retry(now)
+}
--- /dev/null
+++ b/router.go
@@ -0,0 +1,228 @@
+package mallowbridge
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/bid"
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+type Config struct {
+	Self    string
+	Boot    string
+	Domain  string
+	Market  bid.Config
+	OnceFor time.Duration
+	OnceMax int
+}
+
+func Defaults(self, boot, domain string) (c Config) {
+	return Config{Self: self, Boot: boot, Domain: domain, Market: bid.Defaults(self), OnceFor: 10 * time.Minute, OnceMax: 100000}
+}
+
+type seat struct {
+	name, addr, instance string
+	listing              string
+	usage                bool
+}
+
+type Router struct {
+	cfg    Config
+	m      *bid.Market
+	pic    *charter.Picture
+	offers map[string]int
+	kinds  []map[string]int
+	reps   map[string]int
+	seats  []seat
+	asks   map[string]int
+	names  map[int]string
+	once   *once
+	front  string
+}
+
+func New(cfg Config) (r *Router) {
+	return &Router{
+		cfg: cfg, m: bid.New(cfg.Market), offers: map[string]int{}, reps: map[string]int{},
+		asks: map[string]int{}, names: map[int]string{}, once: newOnce(cfg.OnceFor, cfg.OnceMax),
+		front: cfg.Self + "." + cfg.Boot + ".",
+	}
+}
+
+func (r *Router) Mark() (mark uint64) {
+	if r.pic == nil {
+		return 0
+	}
+	return r.pic.Mark
+}
+
+func (r *Router) Counters() (c bid.Counters) { return r.m.N }
+
+func (r *Router) Hints() (c hint.Counters, t time.Duration) { return r.m.Index.Counters, r.m.Index.T() }
+
+func (r *Router) Alerts() (early, stale bool) { return r.m.Index.Alerts() }
+
+func (r *Router) Stalled(now time.Duration) (why string) { return r.m.Stalled(now) }
+
+func (r *Router) Running() (n int) { return len(r.asks) }
+
+func (r *Router) IndexOff() { r.m.Index.Off = true }
+
+func (r *Router) Step(now time.Duration, ev Event) (out []Decision) {
+	switch e := ev.(type) {
+	case Arrive:
+		if d, answered := r.arrive(now, e); answered {
+			return []Decision{d}
+		}
+	case Order:
+		r.order(now, e.Picture)
+	case Listing:
+		r.listing(e)
+	case Usage:
+		r.usage(now, e)
+	case Routers:
+		r.m.SetRouters(e.Names)
+	case Welcome:
+		r.cfg.Self, r.cfg.Domain = e.Self, e.Domain
+		r.m.SetSelf(e.Self)
+	case Feed:
+		r.m.Feed(now, e.Why)
+	case Leave:
+		if !r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Leave(now, id, g) }) {
+			return []Decision{{Verdict: Recall, Request: e.Request, Go: e.Go}}
+		}
+	case Head:
+		r.head(now, e)
+	case Piece:
+		r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Begin(id, g) })
+	case End:
+		r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Finish(now, id, g, ends[e.How]) })
+	case Hangup:
+		if id, ok := r.asks[e.Request]; ok {
+			r.m.Hangup(now, id)
+			defer r.forget(id)
+		}
+	}
+	return r.render(now, r.m.Tick(now))
+}
+
+var ends = map[How]bid.End{Whole: bid.Whole, Refused: bid.Refused, Broken: bid.Broken, Unreached: bid.Unreached, Withheld: bid.Withheld}
+
+func (r *Router) with(req, goName string, act func(id int, g uint64)) (ok bool) {
+	id, ok := r.asks[req]
+	if !ok {
+		return false
+	}
+	g, ok := r.goSeq(goName)
+	if !ok {
+		return false
+	}
+	act(id, g)
+	return true
+}
+
+func (r *Router) goName(seq uint64) (name string) {
+	return r.front + strconv.FormatUint(seq, 36)
+}
+
+func (r *Router) goSeq(name string) (seq uint64, ok bool) {
+	front := r.front
+	if len(name) <= len(front) || name[:len(front)] != front {
+		return 0, false
+	}
+	seq, err := strconv.ParseUint(name[len(front):], 36, 64)
+	return seq, err == nil
+}
+
+func (r *Router) arrive(now time.Duration, e Arrive) (d Decision, answered bool) {
+	deny := func(why string, repeat bool) (Decision, bool) {
+		return Decision{Verdict: Deny, Request: e.Request, Why: why, After: time.Second, Repeat: repeat}, true
+	}
+	bad := func(why string) (Decision, bool) {
+		return Decision{Verdict: Deny, Request: e.Request, Why: why, Bad: true}, true
+	}
+	if r.pic == nil {
+		return deny("no picture yet", false)
+	}
+	if _, twice := r.asks[e.Request]; twice {
+		return deny("request is already running here", true)
+	}
+	offer, ok := r.offers[e.Offer]
+	if !ok {
+		return bad("no such offer")
+	}
+	kind, ok := r.kinds[offer][e.Kind]
+	if !ok {
+		return bad("no such kind")
+	}
+	o := &r.m.Offers[offer]
+	if !o.Kinds[kind].Repeatable && r.once.had(now, e.Request) {
+		return deny("request had its one go", true)
+	}
+	parts, err := hint.Parse(r.model(e.Offer), e.Prefix)
+	if err != nil {
+		return bad(err.Error())
+	}
+	id := r.m.Arrive(now, bid.Ask{Offer: offer, Kind: kind, Parts: parts, Tail: e.Tail})
+	r.asks[e.Request], r.names[id] = id, e.Request
+	return d, false
+}
+
+func (r *Router) model(offer string) (model string) {
+	for i := range r.pic.Charter.Offers {
+		if r.pic.Charter.Offers[i].Name == offer {
+			return r.pic.Charter.Offers[i].Model
+		}
+	}
+	return ""
+}
+
+func (r *Router) head(now time.Duration, e Head) {
+	id, ok := r.asks[e.Request]
+	if !ok {
+		return
+	}
+	rep := r.m.Rep(id)
+	if rep >= 0 && e.InstanceID != "" {
+		g, _ := r.goSeq(e.Go)
+		r.instance(now, rep, e.InstanceID, 0, g)
+	}
+	r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Head(now, id, g) })
+}
+
+func (r *Router) render(now time.Duration, acts []bid.Act) (out []Decision) {
+	for _, a := range acts {
+		d := Decision{Verdict: verdicts[a.Kind], Request: r.names[a.Ask], Why: a.Why, After: a.After, Late: a.Late, Confirmed: a.Conf, Predicted: a.Pred}
+		if a.Go != 0 {
+			d.Go = r.goName(a.Go)
+		}
+		if a.Rep >= 0 {
+			d.Replica, d.Addr = r.seats[a.Rep].name, r.seats[a.Rep].addr
+		}
+		d.Once, d.Repeat = a.Once, a.Repeat
+		if a.Kind == bid.Place && a.Pre >= 0 {
+			d.Prefill = r.seats[a.Pre].addr
+		}
+		switch a.Kind {
+		case bid.Send:
+			r.once.note(now, d.Request)
+		case bid.Deny, bid.Done, bid.Unknown, bid.Partial:
+			r.forget(a.Ask)
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+var verdicts = map[bid.ActKind]Verdict{
+	bid.Place: Place, bid.Send: Send, bid.Recall: Recall, bid.Deny: Deny, bid.Cancel: Cancel,
+	bid.Unknown: Unknown, bid.Partial: Partial, bid.Done: Done,
+}
+
+func (r *Router) forget(id int) {
+	if name, ok := r.names[id]; ok {
+		delete(r.asks, name)
+		delete(r.names, id)
+	}
+}
--- /dev/null
+++ b/rumor/rumor.go
@@ -0,0 +1,222 @@
+package rumor
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type Mark struct{ Hi, Lo uint64 }
+
+func (m Mark) Less(o Mark) (yes bool) {
+	return m.Hi < o.Hi || (m.Hi == o.Hi && m.Lo < o.Lo)
+}
+
+type Item struct {
+	Key  string
+	Mark Mark
+	Data any
+}
+
+type KeyMark struct {
+	Key  string
+	Mark Mark
+}
+
+type News struct{ Items []Item }
+
+type Sum struct {
+	Hash uint64
+	N    int
+}
+
+type Marks struct {
+	Marks []KeyMark
+	Reply bool
+}
+
+type Want struct{ Keys []string }
+
+type Peer struct {
+	Name, Addr string
+	Near       bool
+}
+
+type Send struct {
+	To  string
+	Msg any
+}
+
+type Config struct {
+	Push       time.Duration
+	Near       int
+	Far        int
+	Rounds     int
+	DigestNear time.Duration
+	DigestFar  time.Duration
+	MaxBytes   int
+}
+
+func Defaults() (c Config) {
+	return Config{Push: 100 * time.Millisecond, Near: 2, Far: 1, Rounds: 2, DigestNear: time.Second, DigestFar: 2 * time.Second}
+}
+
+type hot struct {
+	left int
+}
+
+type Store struct {
+	cfg      Config
+	rng      *rand.Rand
+	items    map[string]Item
+	hot      map[string]*hot
+	hash     uint64
+	pushed   time.Duration
+	digested [2]time.Duration
+	Fresh    uint64
+	Stale    uint64
+}
+
+func New(cfg Config, seed uint64) (s *Store) {
+	return &Store{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 11)), items: map[string]Item{}, hot: map[string]*hot{}}
+}
+
+func leaf(k string, m Mark) (h uint64) {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], m.Hi)
+	binary.BigEndian.PutUint64(b[8:], m.Lo)
+	d := xxhash.New()
+	_, _ = d.WriteString(k)
+	_, _ = d.Write(b[:])
+	return d.Sum64()
+}
+
+func (s *Store) Put(it Item) (fresh bool) {
+	old, ok := s.items[it.Key]
+	if ok && !old.Mark.Less(it.Mark) {
+		s.Stale++
+		return false
+	}
+	if ok {
+		s.hash ^= leaf(old.Key, old.Mark)
+	}
+	s.hash ^= leaf(it.Key, it.Mark)
+	s.items[it.Key] = it
+	s.hot[it.Key] = &hot{left: s.cfg.Rounds}
+	s.Fresh++
+	return true
+}
+
+func (s *Store) Get(key string) (it Item, ok bool) {
+	it, ok = s.items[key]
+	return it, ok
+}
+
+func (s *Store) Len() (n int) { return len(s.items) }
+
+func (s *Store) keys() (keys []string) {
+	for k := range s.items {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (s *Store) Marks(reply bool) (m Marks) {
+	m.Reply = reply
+	for _, k := range s.keys() {
+		m.Marks = append(m.Marks, KeyMark{Key: k, Mark: s.items[k].Mark})
+	}
+	return m
+}
+
+func (s *Store) News(keys []string) (n News) {
+	for _, k := range keys {
+		if it, ok := s.items[k]; ok {
+			n.Items = append(n.Items, it)
+		}
+	}
+	return n
+}
+
+func (s *Store) OnSum(from string, m Sum) (sends []Send) {
+	if m.Hash == s.hash && m.N == len(s.items) {
+		return nil
+	}
+	return []Send{{To: from, Msg: s.Marks(true)}}
+}
+
+func (s *Store) OnMarks(from string, m Marks) (sends []Send) {
+	theirs := map[string]Mark{}
+	var want []string
+	for _, km := range m.Marks {
+		theirs[km.Key] = km.Mark
+		if it, ok := s.items[km.Key]; !ok || it.Mark.Less(km.Mark) {
+			want = append(want, km.Key)
+		}
+	}
+	var ahead []string
+	for _, k := range s.keys() {
+		if t, ok := theirs[k]; !ok || t.Less(s.items[k].Mark) {
+			ahead = append(ahead, k)
+		}
+	}
+	if len(ahead) > 0 || m.Reply {
+		sends = append(sends, Send{To: from, Msg: s.News(ahead)})
+	}
+	if len(want) > 0 {
+		sends = append(sends, Send{To: from, Msg: Want{Keys: want}})
+	}
+	return sends
+}
+
+func (s *Store) OnWant(from string, m Want) (sends []Send) {
+	return []Send{{To: from, Msg: s.News(m.Keys)}}
+}
+
+func (s *Store) pick(peers []Peer, near bool, n int) (to []Peer) {
+	for _, p := range peers {
+		if p.Near == near {
+			to = append(to, p)
+		}
+	}
+	s.rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+	return to[:min(n, len(to))]
+}
+
+func (s *Store) Tick(now time.Duration, peers []Peer) (sends []Send) {
+	if len(s.hot) > 0 && now-s.pushed >= s.cfg.Push {
+		s.pushed = now
+		sends = s.push(peers)
+	}
+	for i, every := range []time.Duration{s.cfg.DigestNear, s.cfg.DigestFar} {
+		if now-s.digested[i] < every {
+			continue
+		}
+		s.digested[i] = now
+		for _, p := range s.pick(peers, i == 0, 1) {
+			sends = append(sends, Send{To: p.Addr, Msg: Sum{Hash: s.hash, N: len(s.items)}})
+		}
+	}
+	return sends
+}
+
+func (s *Store) push(peers []Peer) (sends []Send) {
+	var keys []string
+	for k, h := range s.hot {
+		keys = append(keys, k)
+		h.left--
+		if h.left <= 0 {
+			delete(s.hot, k)
+		}
+	}
+	sort.Strings(keys)
+	news := s.News(keys)
+	for _, p := range append(s.pick(peers, true, s.cfg.Near), s.pick(peers, false, s.cfg.Far)...) {
+		sends = append(sends, Send{To: p.Addr, Msg: news})
+	}
+	return sends
+}
--- /dev/null
+++ b/stage/load.go
@@ -0,0 +1,90 @@
+package stage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+type KindLoad struct {
+	Offer, Name string
+	Repeatable  bool
+}
+
+type Load struct {
+	Kinds    []KindLoad
+	Rate     float64
+	Prefixes int
+	HotShare float64
+	Crowds   []Crowd
+}
+
+type Crowd struct {
+	From, Until time.Duration
+	Times       float64
+}
+
+type Ask struct {
+	At         time.Duration
+	Request    string
+	Kind       KindLoad
+	Prefix     string
+	TailTokens int
+}
+
+type prefix struct {
+	header string
+}
+
+type Source struct {
+	load     Load
+	rng      *rand.Rand
+	prefixes [][]prefix
+	next     time.Duration
+	n        int
+	tag      string
+}
+
+func NewSource(l Load, seed uint64, tag string) (s *Source) {
+	s = &Source{load: l, rng: rand.New(rand.NewPCG(seed, 17)), tag: tag}
+	shape := rand.New(rand.NewPCG(1, 19))
+	for _, k := range l.Kinds {
+		var ps []prefix
+		for i := range max(l.Prefixes, 1) {
+			parts := []string{fmt.Sprintf("%s.sys/%d", k.Name, 256)}
+			for j := range 1 + shape.IntN(3) {
+				parts = append(parts, fmt.Sprintf("%s.%d.%d/%d", k.Name, i, j, 256<<shape.IntN(3)))
+			}
+			ps = append(ps, prefix{header: strings.Join(parts, ",")})
+		}
+		s.prefixes = append(s.prefixes, ps)
+	}
+	return s
+}
+
+func (s *Source) rate(at time.Duration) (r float64) {
+	r = s.load.Rate
+	for _, c := range s.load.Crowds {
+		if at >= c.From && at < c.Until {
+			r *= c.Times
+		}
+	}
+	return r
+}
+
+func (s *Source) Next() (a Ask) {
+	s.next += time.Duration(s.rng.ExpFloat64() / s.rate(s.next) * float64(time.Second))
+	k := s.rng.IntN(len(s.load.Kinds))
+	pool := s.prefixes[k]
+	i := int(float64(len(pool)) * s.rng.Float64() * s.rng.Float64())
+	if s.rng.Float64() < s.load.HotShare {
+		k, i = 0, 0
+		pool = s.prefixes[0]
+	}
+	s.n++
+	return Ask{
+		At: s.next, Request: fmt.Sprintf("%s-%d", s.tag, s.n), Kind: s.load.Kinds[k], Prefix: pool[i].header,
+		TailTokens: 32 + s.rng.IntN(160),
+	}
+}
--- /dev/null
+++ b/stand/agent.go
@@ -0,0 +1,89 @@
+package stand
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/stage"
+	"github.com/mallowbridge/mallowbridge/tally"
+)
+
+type Agent struct {
+	Nodes  []string
+	Client *http.Client
+}
+
+func NewAgent(nodes []string) (a *Agent) {
+	return &Agent{Nodes: nodes, Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+}
+
+func (a *Agent) Once(ctx context.Context, node string, k stage.Ask) (g tally.Got) {
+	g = tally.Got{AtMs: time.Now().UnixMilli(), Node: node, Request: k.Request, Kind: k.Kind.Name, Repeatable: k.Kind.Repeatable, Outcome: "lost"}
+	body := `{"prompt":"` + strings.Repeat("tail", max(k.TailTokens-3, 1)) + `"}`
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/offers/"+k.Kind.Offer+"/"+k.Kind.Name, strings.NewReader(body))
+	if err != nil {
+		return g
+	}
+	req.GetBody = nil
+	req.Header.Set("X-Request-Id", k.Request)
+	req.Header.Set("X-Prompt-Prefix", k.Prefix)
+	began := time.Now()
+	resp, err := a.Client.Do(req)
+	if err != nil {
+		return g
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		g.Outcome = resp.Header.Get("X-Outcome")
+		if g.Outcome == "" {
+			g.Outcome = "lost"
+		}
+		return g
+	}
+	g.Outcome = "partial"
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		var l mallowbridge.Line
+		if json.Unmarshal(lines.Bytes(), &l) != nil {
+			return g
+		}
+		if l.End {
+			g.Outcome = "done"
+			continue
+		}
+		if g.FirstMs == 0 {
+			g.FirstMs = max(time.Since(began).Milliseconds(), 1)
+		}
+		g.Pieces = append(g.Pieces, l.Text)
+	}
+	if lines.Err() != nil {
+		g.Outcome = "partial"
+	}
+	return g
+}
+
+func (a *Agent) Run(ctx context.Context, src *stage.Source, n int, took func(g tally.Got)) {
+	start := time.Now()
+	out := make(chan tally.Got)
+	for i := range n {
+		ask := src.Next()
+		go func() {
+			timer := time.NewTimer(time.Until(start.Add(ask.At)))
+			defer timer.Stop()
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+			out <- a.Once(ctx, a.Nodes[i%len(a.Nodes)], ask)
+		}()
+	}
+	for range n {
+		took(<-out)
+	}
+}
--- /dev/null
+++ b/term/term.go
@@ -0,0 +1,195 @@
+package term
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/pact"
+)
+
+const (
+	TTL   = 3 * time.Second
+	Renew = time.Second
+	Drift = TTL / 10
+)
+
+type Mark struct {
+	Seat, N uint64
+}
+
+func (m Mark) Less(o Mark) (yes bool) {
+	return m.Seat < o.Seat || (m.Seat == o.Seat && m.N < o.N)
+}
+
+type Ask struct {
+	Rid    uint64
+	Disk   string
+	Duty   string
+	Holder string
+	Mark   Mark
+}
+
+type Grant struct {
+	Rid    uint64
+	Disk   string
+	Duty   string
+	OK     bool
+	Mark   Mark
+	Holder string
+}
+
+type Drop struct {
+	Disk   string
+	Duty   string
+	Holder string
+	Mark   Mark
+}
+
+type Record struct {
+	Holder string
+	Mark   Mark
+}
+
+type row struct {
+	Record
+	until time.Duration
+}
+
+type Granter struct {
+	Disk  string
+	rows  map[string]*row
+	quiet time.Duration
+}
+
+func NewGranter(disk string, kept map[string]Record, quietUntil time.Duration) (g *Granter) {
+	g = &Granter{Disk: disk, rows: map[string]*row{}, quiet: quietUntil}
+	for duty, r := range kept {
+		g.rows[duty] = &row{Record: r, until: quietUntil}
+	}
+	return g
+}
+
+func (g *Granter) Quiet(until time.Duration) { g.quiet = max(g.quiet, until) }
+
+func (g *Granter) Ask(now time.Duration, m Ask) (r Grant, write bool) {
+	if m.Disk != g.Disk {
+		return Grant{}, false
+	}
+	r = Grant{Rid: m.Rid, Disk: g.Disk, Duty: m.Duty}
+	cur := g.rows[m.Duty]
+	if cur == nil {
+		cur = &row{until: g.quiet}
+		g.rows[m.Duty] = cur
+	}
+	same := cur.Holder == m.Holder && cur.Mark == m.Mark
+	if !same && (now < cur.until || now < g.quiet || !cur.Mark.Less(m.Mark)) {
+		r.Mark, r.Holder = cur.Mark, cur.Holder
+		return r, false
+	}
+	write = !same
+	cur.Holder, cur.Mark, cur.until = m.Holder, m.Mark, now+TTL
+	r.OK, r.Mark, r.Holder = true, m.Mark, m.Holder
+	return r, write
+}
+
+func (g *Granter) Drop(m Drop) {
+	if cur := g.rows[m.Duty]; cur != nil && m.Disk == g.Disk && cur.Holder == m.Holder && cur.Mark == m.Mark {
+		cur.until = 0
+	}
+}
+
+func (g *Granter) Kept() (kept map[string]Record) {
+	kept = map[string]Record{}
+	for duty, r := range g.rows {
+		if r.Holder != "" {
+			kept[duty] = r.Record
+		}
+	}
+	return kept
+}
+
+type Claim struct {
+	Duty  string
+	Mark  Mark
+	until time.Duration
+	asked time.Duration
+	rid   uint64
+	yes   map[string]bool
+	next  time.Duration
+}
+
+type Holder struct {
+	Name   string
+	claims map[string]*Claim
+	high   map[string]uint64
+	rid    uint64
+}
+
+func NewHolder(name string) (h *Holder) {
+	return &Holder{Name: name, claims: map[string]*Claim{}, high: map[string]uint64{}}
+}
+
+func (h *Holder) Holds(now time.Duration, duty string) (m Mark, ok bool) {
+	c := h.claims[duty]
+	if c == nil || now >= c.until {
+		return Mark{}, false
+	}
+	return c.Mark, true
+}
+
+func (h *Holder) Want(now time.Duration, duty string, seats *pact.Value) (sends []pact.Send) {
+	c := h.claims[duty]
+	if c == nil {
+		c = &Claim{Duty: duty, Mark: Mark{Seat: seats.Seat, N: h.high[duty] + 1}}
+		h.claims[duty] = c
+	}
+	if now < c.next {
+		return nil
+	}
+	if now >= c.until && (c.Mark.N <= h.high[duty] || c.Mark.Seat != seats.Seat) {
+		c.Mark = Mark{Seat: seats.Seat, N: h.high[duty] + 1}
+	}
+	h.rid++
+	c.rid, c.asked, c.yes, c.next = h.rid, now, map[string]bool{}, now+Renew
+	for _, v := range seats.All() {
+		sends = append(sends, pact.Send{Disk: v.Disk, Msg: Ask{Rid: c.rid, Disk: v.Disk, Duty: duty, Holder: h.Name, Mark: c.Mark}})
+	}
+	return sends
+}
+
+func (h *Holder) OnGrant(now time.Duration, g Grant, seats *pact.Value) {
+	c := h.claims[g.Duty]
+	if c == nil || g.Rid != c.rid {
+		return
+	}
+	if !g.OK {
+		if g.Mark.Seat == c.Mark.Seat {
+			h.high[g.Duty] = max(h.high[g.Duty], g.Mark.N)
+		}
+		return
+	}
+	c.yes[g.Disk] = true
+	if pact.Quorum(seats, func(d string) bool { return c.yes[d] }) {
+		c.until = max(c.until, c.asked+TTL-Drift)
+	}
+}
+
+func (h *Holder) Drop(duty string, seats *pact.Value) (sends []pact.Send) {
+	c := h.claims[duty]
+	if c == nil {
+		return nil
+	}
+	delete(h.claims, duty)
+	for _, v := range seats.All() {
+		sends = append(sends, pact.Send{Disk: v.Disk, Msg: Drop{Disk: v.Disk, Duty: duty, Holder: h.Name, Mark: c.Mark}})
+	}
+	return sends
+}
+
+func (h *Holder) Held() (duties []string) {
+	for d := range h.claims {
+		duties = append(duties, d)
+	}
+	slices.Sort(duties)
+	return duties
+}
--- /dev/null
+++ b/vault/disk.go
@@ -0,0 +1,120 @@
+package vault
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/gravitational/trace"
+)
+
+type Disk interface {
+	Read(name string) (data []byte, found bool, err error)
+	Write(name string, data []byte) (err error)
+	Append(name string, data []byte) (err error)
+	Sync(name string) (err error)
+	SyncFolder() (err error)
+	Remove(name string) (err error)
+	Cut(name string, size int) (err error)
+}
+
+type FolderError struct{ Path, Why string }
+
+func (e *FolderError) Error() (text string) { return "data folder " + e.Path + ": " + e.Why }
+
+type Folder struct {
+	path string
+	open map[string]*os.File
+}
+
+func OpenFolder(path string) (f *Folder, err error) {
+	if err = os.MkdirAll(path, 0o700); err != nil {
+		return nil, trace.Wrap(&FolderError{Path: path, Why: err.Error()})
+	}
+	return &Folder{path: path, open: map[string]*os.File{}}, nil
+}
+
+func (f *Folder) at(name string) (p string) { return filepath.Join(f.path, name) }
+
+func (f *Folder) Read(name string) (data []byte, found bool, err error) {
+	data, err = os.ReadFile(f.at(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, false, nil
+	}
+	return data, err == nil, trace.ConvertSystemError(err)
+}
+
+func (f *Folder) file(name string) (file *os.File, err error) {
+	if file = f.open[name]; file != nil {
+		return file, nil
+	}
+	file, err = os.OpenFile(f.at(name), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	f.open[name] = file
+	return file, nil
+}
+
+func (f *Folder) Write(name string, data []byte) (err error) {
+	file, err := f.file(name)
+	if err != nil {
+		return err
+	}
+	if err = file.Truncate(0); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	_, err = file.WriteAt(data, 0)
+	return trace.ConvertSystemError(err)
+}
+
+func (f *Folder) Append(name string, data []byte) (err error) {
+	file, err := f.file(name)
+	if err != nil {
+		return err
+	}
+	end, err := file.Seek(0, 2)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	_, err = file.WriteAt(data, end)
+	return trace.ConvertSystemError(err)
+}
+
+func (f *Folder) Sync(name string) (err error) {
+	file, err := f.file(name)
+	if err != nil {
+		return err
+	}
+	return trace.ConvertSystemError(file.Sync())
+}
+
+func (f *Folder) SyncFolder() (err error) {
+	dir, err := os.Open(f.path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer dir.Close()
+	return trace.ConvertSystemError(dir.Sync())
+}
+
+func (f *Folder) Remove(name string) (err error) {
+	if file := f.open[name]; file != nil {
+		_ = file.Close()
+		delete(f.open, name)
+	}
+	err = os.Remove(f.at(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return trace.ConvertSystemError(err)
+}
+
+func (f *Folder) Cut(name string, size int) (err error) {
+	file, err := f.file(name)
+	if err != nil {
+		return err
+	}
+	return trace.ConvertSystemError(file.Truncate(int64(size)))
+}
--- /dev/null
+++ b/wire/accept.go
@@ -0,0 +1,79 @@
+package wire
+
+import (
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+func (n *Net) accept() (err error) {
+	room := make(chan struct{}, maxInbound)
+	for {
+		conn, err := n.lis.Accept()
+		if err != nil {
+			if !n.t.Alive() {
+				return nil
+			}
+			time.Sleep(redialMin)
+			continue
+		}
+		select {
+		case room <- struct{}{}:
+		default:
+			_ = conn.Close()
+			continue
+		}
+		n.t.Go(func() error {
+			defer func() { <-room }()
+			n.serve(conn)
+			return nil
+		})
+	}
+}
+
+func (n *Net) serve(conn net.Conn) {
+	defer conn.Close()
+	gone := make(chan struct{})
+	defer close(gone)
+	go func() {
+		select {
+		case <-n.t.Dying():
+			_ = conn.Close()
+		case <-gone:
+		}
+	}()
+	r := NewReader(conn)
+	theirs, err := Greet(conn, NewWriter(), r, n.self)
+	if err != nil {
+		n.ended(conn, err)
+		return
+	}
+	if theirs.Role == "follower" {
+		n.follow(conn, theirs, r)
+		return
+	}
+	for {
+		_ = conn.SetReadDeadline(time.Now().Add(idleLimit))
+		msg, err := r.Next()
+		if err != nil {
+			n.ended(conn, err)
+			return
+		}
+		select {
+		case n.In <- Inbound{Hello: theirs, Msg: msg}:
+		case <-n.t.Dying():
+			return
+		}
+	}
+}
+
+func (n *Net) ended(conn net.Conn, err error) {
+	var ne net.Error
+	if trace.Unwrap(err) == io.EOF || errors.Is(err, net.ErrClosed) || errors.As(err, &ne) || !n.t.Alive() {
+		return
+	}
+	n.fault(conn.RemoteAddr().String(), err)
+}
--- /dev/null
+++ b/wire/frame.go
@@ -0,0 +1,111 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"fmt"
+	"io"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	Build    = 1
+	MaxFrame = 4 << 20
+)
+
+type Hello struct {
+	Build uint32
+	Name  string
+	Addr  string
+	Role  string
+}
+
+type TooLongError struct{ Bytes, Bound int }
+
+func (e *TooLongError) Error() (text string) {
+	return fmt.Sprintf("frame of %d bytes: must be 1 to %d", e.Bytes, e.Bound)
+}
+
+type UnreadableError struct{ Cause string }
+
+func (e *UnreadableError) Error() (text string) { return "frame cannot be read: " + e.Cause }
+
+type BuildError struct{ Ours, Theirs uint32 }
+
+func (e *BuildError) Error() (text string) {
+	return fmt.Sprintf("build %d does not speak with build %d", e.Ours, e.Theirs)
+}
+
+func Speak(ours, theirs uint32) (err error) {
+	if theirs+1 < ours || theirs > ours+1 {
+		return trace.Wrap(&BuildError{Ours: ours, Theirs: theirs})
+	}
+	return nil
+}
+
+type Writer struct {
+	buf bytes.Buffer
+	enc *gob.Encoder
+}
+
+func NewWriter() (w *Writer) {
+	w = &Writer{}
+	w.enc = gob.NewEncoder(&w.buf)
+	return w
+}
+
+func (w *Writer) Frame(msg any) (frame []byte, err error) {
+	w.buf.Reset()
+	w.buf.Write([]byte{0, 0, 0, 0})
+	if err = w.enc.Encode(&msg); err != nil {
+		return nil, trace.Wrap(&UnreadableError{Cause: err.Error()})
+	}
+	n := w.buf.Len() - 4
+	if n > MaxFrame {
+		return nil, trace.Wrap(&TooLongError{Bytes: n, Bound: MaxFrame})
+	}
+	frame = bytes.Clone(w.buf.Bytes())
+	binary.BigEndian.PutUint32(frame, uint32(n))
+	return frame, nil
+}
+
+type Reader struct {
+	src  io.Reader
+	body bytes.Buffer
+	dec  *gob.Decoder
+}
+
+func NewReader(src io.Reader) (r *Reader) {
+	r = &Reader{src: src}
+	r.dec = gob.NewDecoder(&r.body)
+	return r
+}
+
+func (r *Reader) Next() (msg any, err error) {
+	var head [4]byte
+	if _, err = io.ReadFull(r.src, head[:]); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	n := int(binary.BigEndian.Uint32(head[:]))
+	if n < 1 || n > MaxFrame {
+		return nil, trace.Wrap(&TooLongError{Bytes: n, Bound: MaxFrame})
+	}
+	r.body.Reset()
+	if _, err = io.CopyN(&r.body, r.src, int64(n)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			msg, err = nil, trace.Wrap(&UnreadableError{Cause: fmt.Sprint(p)})
+		}
+	}()
+	if err = r.dec.Decode(&msg); err != nil {
+		return nil, trace.Wrap(&UnreadableError{Cause: err.Error()})
+	}
+	if msg == nil || r.body.Len() > 0 {
+		return nil, trace.Wrap(&UnreadableError{Cause: "not one message"})
+	}
+	return msg, nil
+}
--- /dev/null
+++ b/wire/net.go
@@ -0,0 +1,195 @@
+package wire
+
+import (
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"gopkg.in/tomb.v2"
+)
+
+const (
+	queued     = 512
+	dialFor    = 500 * time.Millisecond
+	writeFor   = 2 * time.Second
+	redialMin  = 100 * time.Millisecond
+	idleLimit  = 30 * time.Second
+	maxInbound = 1024
+)
+
+type Counters struct {
+	Sent, Bytes, Dropped, Unreadable, Dials atomic.Uint64
+}
+
+type Inbound struct {
+	Hello Hello
+	Msg   any
+}
+
+type parcel struct {
+	to  string
+	msg any
+}
+
+type Net struct {
+	t       *tomb.Tomb
+	self    Hello
+	lis     net.Listener
+	out     chan parcel
+	In      chan Inbound
+	N       Counters
+	OnFault func(peer string, err error)
+	follow  func(c net.Conn, h Hello, r *Reader)
+}
+
+func Listen(t *tomb.Tomb, self Hello, follow func(c net.Conn, h Hello, r *Reader), fault func(peer string, err error)) (n *Net, err error) {
+	lis, err := net.Listen("tcp", self.Addr)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	n = &Net{t: t, self: self, lis: lis, out: make(chan parcel, queued), In: make(chan Inbound, queued), OnFault: fault, follow: follow}
+	t.Go(n.accept)
+	t.Go(n.dispatch)
+	t.Go(func() error {
+		<-t.Dying()
+		_ = lis.Close()
+		return nil
+	})
+	return n, nil
+}
+
+func (n *Net) Send(to string, msg any) {
+	select {
+	case n.out <- parcel{to: to, msg: msg}:
+	default:
+		n.N.Dropped.Add(1)
+	}
+}
+
+func (n *Net) dispatch() (err error) {
+	peers := map[string]chan any{}
+	for {
+		select {
+		case <-n.t.Dying():
+			return nil
+		case p := <-n.out:
+			q := peers[p.to]
+			if q == nil {
+				q = make(chan any, queued)
+				peers[p.to] = q
+				n.t.Go(func() error { return n.peer(p.to, q) })
+			}
+			select {
+			case q <- p.msg:
+			default:
+				n.N.Dropped.Add(1)
+			}
+		}
+	}
+}
+
+func (n *Net) peer(addr string, q chan any) (err error) {
+	var conn net.Conn
+	var w *Writer
+	var next time.Time
+	defer func() {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	}()
+	for {
+		var msg any
+		select {
+		case <-n.t.Dying():
+			return nil
+		case msg = <-q:
+		}
+		for try := 0; try < 2; try++ {
+			if conn == nil && time.Now().Before(next) {
+				break
+			}
+			if conn == nil {
+				if conn, w, err = n.dial(addr); err != nil {
+					conn, next = nil, time.Now().Add(redialMin)
+					break
+				}
+			}
+			if err = n.write(conn, w, msg); err == nil {
+				msg = nil
+				break
+			}
+			_ = conn.Close()
+			conn = nil
+		}
+		if msg != nil {
+			n.N.Dropped.Add(1)
+		}
+	}
+}
+
+func (n *Net) dial(addr string) (conn net.Conn, w *Writer, err error) {
+	n.N.Dials.Add(1)
+	conn, err = net.DialTimeout("tcp", addr, dialFor)
+	if err != nil {
+		return nil, nil, trace.ConvertSystemError(err)
+	}
+	w = NewWriter()
+	_, err = Greet(conn, w, NewReader(conn), n.self)
+	if err != nil {
+		n.fault(addr, err)
+		_ = conn.Close()
+		return nil, nil, err
+	}
+	go n.drain(conn)
+	return conn, w, nil
+}
+
+func (n *Net) drain(conn net.Conn) {
+	var b [1]byte
+	_, _ = conn.Read(b[:])
+	_ = conn.Close()
+}
+
+func Greet(conn net.Conn, w *Writer, r *Reader, self Hello) (theirs Hello, err error) {
+	_ = conn.SetDeadline(time.Now().Add(writeFor))
+	defer func() { _ = conn.SetDeadline(time.Time{}) }()
+	frame, err := w.Frame(self)
+	if err != nil {
+		return theirs, err
+	}
+	if _, err = conn.Write(frame); err != nil {
+		return theirs, trace.ConvertSystemError(err)
+	}
+	msg, err := r.Next()
+	if err != nil {
+		return theirs, err
+	}
+	theirs, ok := msg.(Hello)
+	if !ok {
+		return theirs, trace.Wrap(&UnreadableError{Cause: "no hello"})
+	}
+	return theirs, Speak(self.Build, theirs.Build)
+}
+
+func (n *Net) write(conn net.Conn, w *Writer, msg any) (err error) {
+	frame, err := w.Frame(msg)
+	if err != nil {
+		n.fault(conn.RemoteAddr().String(), err)
+		return err
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(writeFor))
+	if _, err = conn.Write(frame); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	n.N.Sent.Add(1)
+	n.N.Bytes.Add(uint64(len(frame)))
+	return nil
+}
+
+func (n *Net) fault(peer string, err error) {
+	n.N.Unreadable.Add(1)
+	if n.OnFault != nil {
+		n.OnFault(peer, err)
+	}
+}
