--- a/crux/status.go
+++ b/crux/status.go
@@ -53,3 +53,14 @@
 	}
 	return s
 }
+
+func (n *Node) Holding(now time.Duration) (duties []string) {
+	for _, d := range n.hold.Held() {
+		if _, ok := n.hold.Holds(now, d); ok {
+			duties = append(duties, d)
+		}
+	}
+	return duties
+}
+
+func (n *Node) Value() (v *pact.Value) { return n.value }
--- /dev/null
+++ b/stage/net.go
@@ -0,0 +1,98 @@
+package stage
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/wire"
+)
+
+type link struct {
+	w   *wire.Writer
+	buf bytes.Buffer
+	r   *wire.Reader
+}
+
+type Net struct {
+	rng        *rand.Rand
+	links      map[[2]string]*link
+	Loss, Dup  float64
+	Near, Far  time.Duration
+	Jitter     time.Duration
+	cuts       map[int]func(from, to string) bool
+	cutSeq     int
+	Sent       uint64
+	Bytes      uint64
+	CrossBytes uint64
+	ByKind     map[string]uint64
+}
+
+func newNet(seed uint64) (n *Net) {
+	return &Net{
+		rng: rand.New(rand.NewPCG(seed, 29)), links: map[[2]string]*link{}, Near: 300 * time.Microsecond, Far: 3 * time.Millisecond,
+		Jitter: 2 * time.Millisecond, cuts: map[int]func(from, to string) bool{}, ByKind: map[string]uint64{},
+	}
+}
+
+func (n *Net) cut(blocked func(from, to string) bool) (heal func()) {
+	n.cutSeq++
+	id := n.cutSeq
+	n.cuts[id] = blocked
+	return func() { delete(n.cuts, id) }
+}
+
+func (n *Net) blocked(from, to string) (yes bool) {
+	for _, c := range n.cuts {
+		if c(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Net) delay(near bool) (d time.Duration) {
+	d = n.Far
+	if near {
+		d = n.Near
+	}
+	return d + time.Duration(n.rng.Int64N(int64(n.Jitter)))
+}
+
+func (n *Net) copy(from, to string, msg any) (same any, size int) {
+	key := [2]string{from, to}
+	l := n.links[key]
+	if l == nil {
+		l = &link{w: wire.NewWriter()}
+		l.r = wire.NewReader(&l.buf)
+		n.links[key] = l
+	}
+	frame, err := l.w.Frame(msg)
+	if err != nil {
+		panic(err)
+	}
+	l.buf.Write(frame)
+	same, err = l.r.Next()
+	if err != nil {
+		panic(err)
+	}
+	return same, len(frame)
+}
+
+func (n *Net) carry(from, to string, near bool, msg any, kind string) (copies []any, delays []time.Duration) {
+	same, size := n.copy(from, to, msg)
+	n.Sent++
+	n.Bytes += uint64(size)
+	n.ByKind[kind] += uint64(size)
+	if !near {
+		n.CrossBytes += uint64(size)
+	}
+	if n.blocked(from, to) || n.rng.Float64() < n.Loss {
+		return nil, nil
+	}
+	copies, delays = []any{same}, []time.Duration{n.delay(near)}
+	if n.rng.Float64() < n.Dup {
+		copies, delays = append(copies, same), append(delays, n.delay(near)+50*time.Millisecond)
+	}
+	return copies, delays
+}
--- /dev/null
+++ b/stage/node.go
@@ -0,0 +1,226 @@
+package stage
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+type Node struct {
+	w      *World
+	Name   string
+	Addr   string
+	Domain string
+	Alive  bool
+	frozen bool
+	inbox  []func()
+	life   uint64
+	skew   time.Duration
+	node   *crux.Node
+	router *mallowbridge.Router
+	keeper *crux.Keeper
+	Disk   *Disk
+	slow   time.Duration
+	stall  bool
+	saving bool
+	unsent []crux.Write
+	asks   map[string]*flight
+	tick   func()
+}
+
+func newNode(w *World, i int, s NodeShape) (n *Node) {
+	n = &Node{
+		w: w, Name: s.Name, Addr: fmt.Sprintf("10.0.0.%d:7000", i+1), Domain: s.Domain,
+		skew: time.Duration(w.rng.Int64N(int64(100 * time.Hour))), asks: map[string]*flight{},
+	}
+	if s.Disk {
+		n.Disk = NewDisk(w.S.Seed*100 + uint64(i))
+	}
+	w.byAddr[n.Addr] = n
+	return n
+}
+
+func (n *Node) local() (now time.Duration) { return n.skew + n.w.now }
+
+func (n *Node) seeds() (addrs []string) {
+	for _, o := range n.w.Nodes[:3] {
+		addrs = append(addrs, o.Addr)
+	}
+	return addrs
+}
+
+func (n *Node) start() {
+	if n.Alive {
+		return
+	}
+	w := n.w
+	w.lives++
+	n.life, n.Alive, n.frozen, n.inbox, n.saving, n.unsent, n.keeper = w.lives, true, false, nil, false, nil, nil
+	inc := uint64(w.now/time.Millisecond) + 1_700_000_000_000
+	cfg := crux.Config{
+		Name: n.Name, Addr: n.Addr, Domain: n.Domain, Seeds: n.seeds(), Inc: inc, Seed: w.S.Seed<<16 + n.life,
+		Kin: kin.Defaults(), Rumor: rumor.Defaults(),
+	}
+	if n.Disk != nil {
+		k, err := crux.OpenKeeper(n.Disk, fmt.Sprintf("disk-%s-%d", n.Name, n.life))
+		if err != nil {
+			w.Say("%s cannot start: %v", n.Name, err)
+			w.Audit.breach("disk cannot be read", n.Name, err.Error())
+			n.Alive = false
+			return
+		}
+		n.keeper = k
+		kept := k.Kept()
+		cfg.Disk = &kept
+	}
+	n.node = crux.New(n.local(), cfg)
+	rc := mallowbridge.Defaults(n.Name, strconv.FormatUint(inc, 36), n.Domain)
+	rc.Market.RoundRobin = w.S.RoundRob
+	n.router = mallowbridge.New(rc)
+	if w.S.IndexOff || w.S.RoundRob {
+		n.router.IndexOff()
+	}
+	w.Say("%s starts", n.Name)
+	life := n.life
+	n.tick = func() {
+		if n.life != life || !n.Alive {
+			return
+		}
+		w.after(tickEvery, n.tick)
+		if !n.frozen {
+			n.step(crux.Tick{})
+			n.decide(n.router.Step(n.local(), mallowbridge.Tick{}))
+		}
+	}
+	n.tick()
+}
+
+func (n *Node) live(do func()) {
+	life := n.life
+	wrapped := func() {
+		if n.Alive && n.life == life {
+			do()
+		}
+	}
+	if n.frozen {
+		n.inbox = append(n.inbox, wrapped)
+		return
+	}
+	wrapped()
+}
+
+func (n *Node) later(d time.Duration, do func()) {
+	life := n.life
+	n.w.after(d, func() {
+		if n.life == life {
+			n.live(do)
+		}
+	})
+}
+
+func (n *Node) step(in crux.In) {
+	n.live(func() { n.carry(n.node.Step(n.local(), in)) })
+}
+
+func (n *Node) event(ev mallowbridge.Event) {
+	n.live(func() { n.decide(n.router.Step(n.local(), ev)) })
+}
+
+func (n *Node) carry(out crux.Out) {
+	w := n.w
+	for _, s := range out.Sends {
+		to := w.byAddr[s.To]
+		if to == nil {
+			continue
+		}
+		msgs, delays := w.Net.carry(n.Addr, s.To, n.Domain == to.Domain, s.Msg, fmt.Sprintf("%T", s.Msg))
+		for i, m := range msgs {
+			w.after(delays[i], func() { to.step(crux.Recv{From: n.Addr, Msg: m}) })
+		}
+	}
+	if len(out.Writes) > 0 {
+		n.unsent = append(n.unsent, out.Writes...)
+		n.save()
+	}
+	for _, ev := range out.Events {
+		n.decide(n.router.Step(n.local(), ev))
+	}
+	for _, p := range out.Probes {
+		n.probe(p)
+	}
+	for _, c := range out.Changes {
+		w.Say("%s %s: %s", n.Name, c.What, c.Detail)
+	}
+	for _, a := range out.Answers {
+		if done := w.answers[a.ID]; done != nil {
+			delete(w.answers, a.ID)
+			done(a)
+		}
+	}
+}
+
+func (n *Node) save() {
+	if n.saving || n.stall || len(n.unsent) == 0 {
+		return
+	}
+	n.saving = true
+	batch := n.unsent
+	n.unsent = nil
+	d := time.Millisecond + time.Duration(n.w.rng.Int64N(int64(4*time.Millisecond))) + n.slow
+	n.later(d, func() {
+		n.saving = false
+		err := n.keeper.Save(batch)
+		n.step(crux.Saved{Ticket: batch[len(batch)-1].Ticket, Err: err})
+		n.save()
+	})
+}
+
+func (n *Node) kill() {
+	if !n.Alive {
+		return
+	}
+	n.Alive = false
+	n.life = 0
+	n.w.Say("%s is killed", n.Name)
+	for _, name := range sortedKeys(n.asks) {
+		n.asks[name].orphan()
+	}
+	n.asks = map[string]*flight{}
+}
+
+func (n *Node) freeze() {
+	if n.Alive {
+		n.w.Say("%s freezes", n.Name)
+		n.frozen = true
+	}
+}
+
+func (n *Node) thaw() {
+	if !n.frozen {
+		return
+	}
+	n.w.Say("%s thaws", n.Name)
+	n.frozen = false
+	box := n.inbox
+	n.inbox = nil
+	for _, do := range box {
+		do()
+	}
+}
+
+func (n *Node) probe(p crux.Probe) {
+	r := n.w.byRep[p.Replica]
+	if r == nil || !r.Up || r.Dark || n.w.Net.blocked(n.Addr, r.addr()) || n.w.Net.blocked(r.addr(), n.Addr) {
+		n.later(400*time.Millisecond, func() { n.step(crux.Probed{Replica: p.Replica}) })
+		return
+	}
+	d := n.w.Net.delay(n.Domain == r.Domain)
+	running, lag := r.m.Usage(n.w.now)
+	res := crux.Probed{Replica: p.Replica, OK: true, InstanceID: r.m.Instance, Running: running, Leaving: r.Leaving, Lag: lag}
+	n.later(2*d, func() { n.step(res) })
+}
--- /dev/null
+++ b/stage/rep.go
@@ -0,0 +1,120 @@
+package stage
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/tally"
+)
+
+type Rep struct {
+	w       *World
+	Name    string
+	Domain  string
+	Up      bool
+	Dark    bool
+	Leaving bool
+	lives   int
+	m       *Replica
+	conns   map[string]*conn
+}
+
+func (w *World) replicas() {
+	c, err := charter.Read(w.S.Charter)
+	if err != nil {
+		panic(err)
+	}
+	for _, o := range c.Offers {
+		for _, rc := range o.Replicas {
+			r := &Rep{w: w, Name: rc.Name, Domain: rc.Domain, conns: map[string]*conn{}}
+			w.Reps = append(w.Reps, r)
+			w.byRep[r.Name] = r
+			r.start(-time.Hour)
+		}
+	}
+}
+
+func (r *Rep) addr() (a string) { return "rep/" + r.Name }
+
+func (r *Rep) start(born time.Duration) {
+	r.lives++
+	r.Up, r.Leaving = true, false
+	r.m = NewReplica(r.w.S.Model, fmt.Sprintf("%s.%d", r.Name, r.lives), born)
+}
+
+func (r *Rep) crash() {
+	if !r.Up {
+		return
+	}
+	r.w.Say("replica %s crashes", r.Name)
+	r.collect()
+	r.Up = false
+	for _, id := range sortedKeys(r.conns) {
+		r.conns[id].reset()
+	}
+	r.conns = map[string]*conn{}
+}
+
+func (r *Rep) collect() {
+	rp := &r.w.Report
+	rp.Floods += r.m.Floods
+	rp.CachedTokens += r.m.CachedTokens
+	rp.PrefixTokens += r.m.PrefixTokens
+	rp.Admitted += r.m.Admitted
+	rp.Refused += r.m.Refused
+	r.m.Floods, r.m.CachedTokens, r.m.PrefixTokens, r.m.Admitted, r.m.Refused = 0, 0, 0, 0, 0
+}
+
+func (r *Rep) note(event, req, id string, n int) {
+	r.w.Ran = append(r.w.Ran, tally.Ran{
+		AtMs: r.w.now.Milliseconds(), Replica: r.Name, Instance: r.m.Instance, Request: req, Go: id, Event: event, Pieces: n,
+	})
+}
+
+func (w *World) list(name, state string) {
+	var alive []*Node
+	for _, n := range w.Nodes {
+		if n.Alive && !n.frozen {
+			alive = append(alive, n)
+		}
+	}
+	if len(alive) == 0 {
+		w.after(time.Second, func() { w.list(name, state) })
+		return
+	}
+	n := alive[w.rng.IntN(len(alive))]
+	w.Say("platform lists %s as %s at %s", name, state, n.Name)
+	if state == "present" {
+		w.Audit.back(name)
+	} else {
+		w.Audit.leaves(name)
+	}
+	op := crux.Listed{At: uint64(w.now/time.Millisecond) + 1_700_000_000_000, Rows: []crux.Listing{{Replica: name, State: state}}}
+	w.Call(n, op, func(crux.Answer) {})
+}
+
+func (w *World) release(names []string, each time.Duration) {
+	for i, name := range names {
+		r := w.byRep[name]
+		w.after(time.Duration(i)*each, func() {
+			r.Leaving = true
+			w.after(500*time.Millisecond, func() { w.list(name, "leaving") })
+			w.after(4500*time.Millisecond, func() { r.crash() })
+			w.after(6500*time.Millisecond, func() {
+				r.start(w.now)
+				w.after(500*time.Millisecond, func() { w.list(name, "present") })
+			})
+		})
+	}
+}
+
+func sortedKeys[T any](m map[string]T) (keys []string) {
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/stage/report.go
@@ -0,0 +1,171 @@
+package stage
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/tally"
+)
+
+type KindReport struct {
+	Done, Denied, Partial, Unknown, Lost, Repeat, Late int
+	Firsts                                             []int64
+}
+
+type Report struct {
+	Kinds                                              map[string]*KindReport
+	Whys                                               map[string]int
+	Arrived, DeniedLate, Seconds, Predicted, Confirmed uint64
+	Floods, CachedTokens, PrefixTokens                 uint64
+	Admitted, Refused                                  uint64
+	PutsTaken, PutsDenied                              int
+	CrossBytes, Bytes, Sent                            uint64
+	ReturnMs                                           int64
+}
+
+func (r *Report) take(f *flight) {
+	k := r.Kinds[f.ask.Kind.Name]
+	if k == nil {
+		k = &KindReport{}
+		r.Kinds[f.ask.Kind.Name] = k
+	}
+	at := map[string]*int{
+		"done": &k.Done, "denied": &k.Denied, "partial": &k.Partial, "unknown": &k.Unknown, "lost": &k.Lost, "repeat": &k.Repeat,
+	}[f.got.Outcome]
+	if at != nil {
+		*at++
+	}
+	if f.got.FirstMs > 0 {
+		k.Firsts = append(k.Firsts, f.got.FirstMs)
+	}
+}
+
+func (r *Report) Total() (k KindReport) {
+	for _, name := range sortedKeys(r.Kinds) {
+		o := r.Kinds[name]
+		k.Done += o.Done
+		k.Denied += o.Denied
+		k.Partial += o.Partial
+		k.Unknown += o.Unknown
+		k.Lost += o.Lost
+		k.Repeat += o.Repeat
+		k.Firsts = append(k.Firsts, o.Firsts...)
+	}
+	return k
+}
+
+func Quantile(ms []int64, q float64) (v int64) {
+	if len(ms) == 0 {
+		return 0
+	}
+	s := slices.Clone(ms)
+	slices.Sort(s)
+	return s[min(int(q*float64(len(s))), len(s)-1)]
+}
+
+func (r *Report) HitRate() (share float64) {
+	return float64(r.CachedTokens) / float64(max(r.PrefixTokens, 1))
+}
+
+func (r *Report) Write(out io.Writer) {
+	fmt.Fprintf(out, "%-10s %7s %7s %8s %8s %6s %9s %9s\n", "kind", "done", "denied", "partial", "unknown", "lost", "first p50", "first p95")
+	row := func(name string, k *KindReport) {
+		fmt.Fprintf(out, "%-10s %7d %7d %8d %8d %6d %7dms %7dms\n", name, k.Done, k.Denied, k.Partial, k.Unknown, k.Lost,
+			Quantile(k.Firsts, 0.5), Quantile(k.Firsts, 0.95))
+	}
+	for _, name := range sortedKeys(r.Kinds) {
+		row(name, r.Kinds[name])
+	}
+	all := r.Total()
+	row("all", &all)
+	fmt.Fprintf(out, "denied late %d, second goes %d, replicas full %d of %d\n", r.DeniedLate, r.Seconds, r.Refused, r.Admitted+r.Refused)
+	fmt.Fprintf(out, "prefix tokens in cache %.1f%%, counted on: confirmed %.1f%%, predicted %.1f%%\n", 100*r.HitRate(),
+		100*float64(r.Confirmed)/float64(max(r.PrefixTokens, 1)), 100*float64(r.Predicted)/float64(max(r.PrefixTokens, 1)))
+	fmt.Fprintf(out, "control bytes %d, between domains %d\n", r.Bytes, r.CrossBytes)
+	for _, why := range sortedKeys(r.Whys) {
+		fmt.Fprintf(out, "denied because %s: %d\n", why, r.Whys[why])
+	}
+}
+
+func (w *World) varied() (body []byte) {
+	w.asks++
+	patience := []byte(`"replaceLostVoterMs":` + strconv.FormatUint(15000+w.asks, 10))
+	return bytes.Replace(w.S.Charter, []byte(`"replaceLostVoterMs":15000`), patience, 1)
+}
+
+func (w *World) collect() {
+	for _, r := range w.Reps {
+		if r.Up {
+			r.collect()
+		}
+	}
+	w.Report.Bytes, w.Report.CrossBytes, w.Report.Sent = w.Net.Bytes, w.Net.CrossBytes, w.Net.Sent
+}
+
+const returnWithin = 12 * time.Second
+
+func (w *World) finish() {
+	w.collect()
+	w.Net.cuts = map[int]func(from, to string) bool{}
+	w.Net.Loss, w.Net.Dup = 0, 0
+	for _, n := range w.Nodes {
+		n.thaw()
+		n.kill()
+		if n.Disk != nil {
+			n.Disk.PowerCut()
+		}
+		n.stall, n.slow = false, 0
+	}
+	for _, r := range w.Reps {
+		r.Dark = false
+		if !r.Up {
+			r.start(w.now)
+		}
+	}
+	from := w.now
+	for _, n := range w.Nodes {
+		w.after(time.Duration(w.rng.Int64N(int64(time.Second))), n.start)
+	}
+	w.await(from, func() { w.dayEnd() })
+	w.run(from + returnWithin + 8*time.Second)
+	if w.Report.ReturnMs == 0 {
+		w.Audit.breach(NoReturn, "fleet", "nothing served after a full stop")
+	}
+	w.Audit.Breaches = append(w.Audit.Breaches, tally.Check(w.Ran, w.Got)...)
+}
+
+func (w *World) await(from time.Duration, then func()) {
+	ready := 0
+	for _, n := range w.Nodes {
+		if n.Alive && n.router.Stalled(n.local()) == "" {
+			ready++
+		}
+	}
+	if ready < len(w.Nodes) && w.now-from < returnWithin+4*time.Second {
+		w.after(100*time.Millisecond, func() { w.await(from, then) })
+		return
+	}
+	w.Report.ReturnMs = (w.now - from).Milliseconds()
+	if w.now-from > returnWithin {
+		w.Audit.breach(NoReturn, "fleet", fmt.Sprintf("%d of %d nodes serve after %s", ready, len(w.Nodes), w.now-from))
+	}
+	then()
+}
+
+func (w *World) dayEnd() {
+	w.Call(w.someNode(), crux.Get{}, func(a crux.Answer) {
+		if a.Err != nil {
+			w.Audit.breach(LostMark, "register", a.Err.Error())
+			return
+		}
+		w.Audit.same(a.Value)
+		if a.Value.Mark < w.Audit.high {
+			w.Audit.breach(LostMark, "register", fmt.Sprintf("mark %d, accepted %d", a.Value.Mark, w.Audit.high))
+		}
+	})
+}
--- /dev/null
+++ b/stage/scenes_test.go
@@ -0,0 +1,39 @@
+package stage
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+var (
+	seeds = flag.Int("seeds", 2, "seeds for each scene")
+	first = flag.Uint64("seed", 1, "first seed")
+)
+
+func TestScenes(t *testing.T) {
+	for _, sc := range Scenes() {
+		t.Run(strings.ReplaceAll(sc.Name, " ", "-"), func(t *testing.T) {
+			for i := range uint64(*seeds) {
+				seed := *first + i
+				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
+					w := Run(sc.Scenario(seed))
+					for _, b := range w.Audit.Breaches {
+						t.Error(b)
+					}
+					if all := w.Report.Total(); all.Done < 100 {
+						t.Errorf("only %d requests were done", all.Done)
+					}
+					var out strings.Builder
+					w.Report.Write(&out)
+					t.Log("\n" + out.String())
+					if t.Failed() {
+						t.Logf("go test ./stage -run '%s' -seed %d -seeds 1\n%s", t.Name(), seed, strings.Join(w.Trace[max(0, len(w.Trace)-60):], "\n"))
+					}
+				})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/stage/world.go
@@ -0,0 +1,214 @@
+package stage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/tally"
+)
+
+type Scenario struct {
+	Seed     uint64
+	Shape    Shape
+	Charter  []byte
+	Load     Load
+	Model    Model
+	Lasts    time.Duration
+	Faults   []Fault
+	Loss     float64
+	Dup      float64
+	IndexOff bool
+	RoundRob bool
+	Resend   bool
+	Tune     func(w *World)
+}
+
+type World struct {
+	queue
+	S        Scenario
+	rng      *rand.Rand
+	Net      *Net
+	Nodes    []*Node
+	byAddr   map[string]*Node
+	Reps     []*Rep
+	byRep    map[string]*Rep
+	Ran      []tally.Ran
+	Got      []tally.Got
+	Audit    *Audit
+	Report   Report
+	Trace    []string
+	answers  map[uint64]func(a crux.Answer)
+	asks     uint64
+	ready    map[string][]*Node
+	stopLoad bool
+	lives    uint64
+}
+
+const tickEvery = 50 * time.Millisecond
+
+func New(s Scenario) (w *World) {
+	if s.Charter == nil {
+		s.Charter = s.Shape.Charter
+	}
+	if s.Model.Room == 0 {
+		s.Model = DefaultModel()
+		s.Model.Room = 12
+	}
+	w = &World{
+		S: s, rng: rand.New(rand.NewPCG(s.Seed, 31)), Net: newNet(s.Seed), byAddr: map[string]*Node{}, byRep: map[string]*Rep{},
+		answers: map[uint64]func(a crux.Answer){}, ready: map[string][]*Node{},
+	}
+	w.Net.Loss, w.Net.Dup = s.Loss, s.Dup
+	w.Report.Kinds, w.Report.Whys = map[string]*KindReport{}, map[string]int{}
+	w.Audit = newAudit(w)
+	for i, ns := range s.Shape.Nodes {
+		w.Nodes = append(w.Nodes, newNode(w, i, ns))
+	}
+	w.replicas()
+	return w
+}
+
+func (w *World) Say(format string, args ...any) {
+	w.Trace = append(w.Trace, fmt.Sprintf("%8.3fs ", w.now.Seconds())+fmt.Sprintf(format, args...))
+	if len(w.Trace) > 400 {
+		w.Trace = w.Trace[len(w.Trace)-400:]
+	}
+}
+
+func (w *World) Now() (t time.Duration) { return w.now }
+
+func (w *World) Node(name string) (n *Node) {
+	for _, n := range w.Nodes {
+		if n.Name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *World) Rep(name string) (r *Rep) { return w.byRep[name] }
+
+func (w *World) Until(t time.Duration) { w.run(t) }
+
+func (w *World) After(d time.Duration, do func()) { w.after(d, do) }
+
+func (w *World) Boot() {
+	for _, n := range w.Nodes {
+		w.after(time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() { n.start() })
+	}
+	w.after(time.Second, func() { w.found() })
+	w.platform()
+	w.Audit.claims()
+}
+
+func (w *World) found() {
+	w.Call(w.Node(w.S.Shape.Voters[0]), crux.Found{Names: w.S.Shape.Voters}, func(a crux.Answer) {
+		if a.Err != nil {
+			w.Say("found: %v", a.Err)
+			w.after(300*time.Millisecond, w.found)
+			return
+		}
+		w.Put(w.Node(w.S.Shape.Voters[0]), 0, w.S.Charter, func(a crux.Answer) {
+			if a.Err != nil {
+				w.Say("first put: %v", a.Err)
+			}
+		})
+	})
+}
+
+func (w *World) Call(n *Node, op crux.Op, done func(a crux.Answer)) {
+	w.asks++
+	id := w.asks
+	w.answers[id] = done
+	life := n.life
+	n.step(crux.Command{ID: id, Op: op})
+	w.after(6*time.Second, func() {
+		if w.answers[id] != nil && (n.life != life || !n.Alive) {
+			delete(w.answers, id)
+			done(crux.Answer{ID: id, Err: &GoneError{Node: n.Name}})
+		}
+	})
+}
+
+type GoneError struct{ Node string }
+
+func (e *GoneError) Error() (text string) { return e.Node + " went down with the answer" }
+
+func (w *World) Put(n *Node, expect uint64, body []byte, done func(a crux.Answer)) {
+	w.asks++
+	op := crux.Put{ID: fmt.Sprintf("put-%d", w.asks), Expect: expect, Body: body}
+	w.Call(n, op, func(a crux.Answer) {
+		if a.Err == nil {
+			w.Audit.accepted(a.Value)
+		}
+		done(a)
+	})
+}
+
+func (w *World) Empty(n *Node, domain string, restore bool, done func(a crux.Answer)) {
+	w.asks++
+	w.Call(n, crux.Empty{ID: fmt.Sprintf("empty-%d", w.asks), Domain: domain, Restore: restore}, func(a crux.Answer) {
+		if a.Err == nil {
+			w.Audit.accepted(a.Value)
+			w.Audit.emptied(domain, !restore)
+		}
+		done(a)
+	})
+}
+
+func (w *World) platform() {
+	w.ready = map[string][]*Node{}
+	for _, n := range w.Nodes {
+		if n.Alive && !n.frozen && n.router.Stalled(n.local()) == "" {
+			w.ready[n.Domain] = append(w.ready[n.Domain], n)
+		}
+	}
+	w.after(time.Second, w.platform)
+}
+
+func (w *World) pick(domain string) (n *Node) {
+	ns := w.ready[domain]
+	if len(ns) == 0 {
+		for _, d := range w.S.Shape.Domains {
+			ns = append(ns, w.ready[d]...)
+		}
+	}
+	if len(ns) == 0 {
+		return nil
+	}
+	return ns[w.rng.IntN(len(ns))]
+}
+
+func (w *World) Load(from, until time.Duration) {
+	src := NewSource(w.S.Load, w.S.Seed, fmt.Sprintf("q%d", w.S.Seed))
+	var next func()
+	next = func() {
+		a := src.Next()
+		if from+a.At >= until {
+			return
+		}
+		w.at(from+a.At, func() {
+			domain := w.S.Shape.Domains[w.rng.IntN(len(w.S.Shape.Domains))]
+			w.submit(a, domain, 0)
+			next()
+		})
+	}
+	next()
+}
+
+func Run(s Scenario) (w *World) {
+	w = New(s)
+	w.Boot()
+	if s.Tune != nil {
+		s.Tune(w)
+	}
+	for _, f := range s.Faults {
+		w.at(f.At, func() { w.Break(f) })
+	}
+	w.Load(5*time.Second, s.Lasts-10*time.Second)
+	w.run(s.Lasts)
+	w.finish()
+	return w
+}
