--- a/crux/command.go
+++ b/crux/command.go
@@ -21,11 +21,11 @@
 			n.answer(c.ID, err)
 			return
 		}
-		n.ask(now, within, put(op), false, n.replyTo(c.ID))
+		n.ask(now, within, put(op), false, n.replyTo(c.ID, op.ID))
 	case Get:
-		n.ask(now, within, nil, false, n.replyTo(c.ID))
+		n.ask(now, within, nil, false, n.replyTo(c.ID, ""))
 	case Empty:
-		n.ask(now, within, empty(op), false, n.replyTo(c.ID))
+		n.ask(now, within, empty(op), false, n.replyTo(c.ID, op.ID))
 	case Found:
 		n.found(now, c.ID, op)
 	case Swap:
@@ -115,7 +115,7 @@
 	}
 	fleet := fmt.Sprintf("%s.%s.%s", n.cfg.Name, strconv.FormatUint(n.cfg.Inc, 36), strconv.FormatUint(n.cfg.Seed, 36))
 	n.opSeq++
-	n.waiting[n.opSeq] = n.replyTo(id)
+	n.waiting[n.opSeq] = n.replyTo(id, "")
 	n.prop.Found(now, now+within, n.opSeq, &pact.Value{Fleet: fleet, Voters: vs})
 }
 
@@ -125,7 +125,7 @@
 		n.answer(id, err)
 		return
 	}
-	n.reseat(now, op.ID, vs, n.replyTo(id))
+	n.reseat(now, op.ID, vs, n.replyTo(id, ""))
 }
 
 func (n *Node) reseat(now time.Duration, id string, vs []pact.Voter, done ending) {
--- a/crux/keeper.go
+++ b/crux/keeper.go
@@ -121,8 +121,8 @@
 		}
 		raws = append(raws, raw)
 	}
-	if k.v.Full() {
-		return k.turn()
+	if err = k.v.Add(raws); err != nil || !k.v.Full() {
+		return err
 	}
-	return k.v.Add(raws)
+	return k.turn()
 }
--- a/crux/msg.go
+++ b/crux/msg.go
@@ -137,6 +137,7 @@
 type Answer struct {
 	ID    uint64
 	Value *pact.Value
+	Mark  uint64
 	First bool
 	Err   error
 }
--- a/crux/register.go
+++ b/crux/register.go
@@ -119,9 +119,16 @@
 	n.ask(now, within, nil, full, func(time.Duration, pact.Result) { n.reading = false })
 }
 
-func (n *Node) replyTo(id uint64) (done ending) {
+func (n *Node) replyTo(id uint64, op string) (done ending) {
 	return func(_ time.Duration, r pact.Result) {
-		n.out.Answers = append(n.out.Answers, Answer{ID: id, Value: r.Value, Err: r.Err})
+		a := Answer{ID: id, Value: r.Value, Err: r.Err}
+		if r.Value != nil {
+			a.Mark = r.Value.Mark
+			if mark, ok := r.Value.Done(op); ok {
+				a.Mark = mark
+			}
+		}
+		n.out.Answers = append(n.out.Answers, a)
 	}
 }
 
--- a/gate/ops.go
+++ b/gate/ops.go
@@ -30,6 +30,7 @@
 
 type Accepted struct {
 	Mark    uint64          `json:"mark"`
+	Now     uint64          `json:"now"`
 	Emptied []string        `json:"emptied"`
 	Voters  []pact.Voter    `json:"voters"`
 	Config  json.RawMessage `json:"config,omitempty"`
@@ -113,7 +114,7 @@
 		return refuse(w, a.Err)
 	}
 	v := a.Value
-	return reply(w, http.StatusOK, Accepted{Mark: v.Mark, Emptied: append([]string{}, v.Emptied...), Voters: v.Voters, Config: v.Body})
+	return reply(w, http.StatusOK, Accepted{Mark: a.Mark, Now: v.Mark, Emptied: append([]string{}, v.Emptied...), Voters: v.Voters, Config: v.Body})
 }
 
 func (o *Ops) get(w http.ResponseWriter, r bunrouter.Request) error {
--- /dev/null
+++ b/pact/pact_test.go
@@ -0,0 +1,291 @@
+package pact
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+var seeds = flag.Int("seeds", 60, "seeds for the histories")
+
+type op struct {
+	put    bool
+	expect uint64
+	body   string
+}
+
+type result struct {
+	unknown, conflict bool
+	mark              uint64
+	body              string
+}
+
+type state struct {
+	mark uint64
+	body string
+}
+
+var model = porcupine.Model{
+	Init: func() any { return state{} },
+	Step: func(s, in, out any) (ok bool, next any) {
+		st, o, r := s.(state), in.(op), out.(result)
+		moved := state{mark: st.mark + 1, body: o.body}
+		switch {
+		case !o.put:
+			return r.unknown || (r.mark == st.mark && r.body == st.body), st
+		case r.unknown && st.mark == o.expect:
+			return true, moved
+		case r.unknown:
+			return true, st
+		case r.conflict:
+			return st.mark != o.expect && r.mark == st.mark, st
+		}
+		return st.mark == o.expect && r.mark == moved.mark, moved
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+type mail struct {
+	to, from string
+	msg      any
+}
+
+type lab struct {
+	rng   *rand.Rand
+	now   time.Duration
+	disks map[string]*Acceptor
+	props []*Proposer
+	bag   []mail
+	ops   []porcupine.Operation
+	open  map[[2]uint64]int
+	id    uint64
+	down  map[string]bool
+	gone  bool
+}
+
+func newLab(seed uint64) (l *lab) {
+	l = &lab{rng: rand.New(rand.NewPCG(seed, 3)), disks: map[string]*Acceptor{}, open: map[[2]uint64]int{}, down: map[string]bool{}}
+	var vs []Voter
+	for i := range 6 {
+		d := fmt.Sprintf("d%d", i)
+		l.disks[d] = &Acceptor{State{Disk: d}}
+		if i < 3 {
+			vs = append(vs, Voter{Disk: d})
+		}
+	}
+	for i := range 3 {
+		p := NewProposer(fmt.Sprintf("p%d", i), seed+uint64(i))
+		l.props = append(l.props, p)
+	}
+	l.props[0].Found(0, time.Hour, 0, &Value{Fleet: "f", Voters: vs})
+	l.pump(400, 0)
+	l.props[0].Take()
+	for _, p := range l.props {
+		p.Learn(&Value{Fleet: "f", Voters: vs})
+	}
+	return l
+}
+
+func (l *lab) take() {
+	for i, p := range l.props {
+		sends, rs := p.Take()
+		for _, s := range sends {
+			l.bag = append(l.bag, mail{to: s.Disk, from: fmt.Sprint(i), msg: s.Msg})
+		}
+		for _, r := range rs {
+			l.done(uint64(i), r)
+		}
+	}
+}
+
+func (l *lab) done(prop uint64, r Result) {
+	at, ok := l.open[[2]uint64{prop, r.ID}]
+	if !ok {
+		return
+	}
+	delete(l.open, [2]uint64{prop, r.ID})
+	o := &l.ops[at]
+	o.Return = int64(l.now)
+	var c *ConflictError
+	var gone *UnfoundedError
+	l.gone = l.gone || errors.As(r.Err, &gone)
+	switch {
+	case errors.As(r.Err, &c):
+		o.Output = result{conflict: true, mark: c.Mark}
+	case r.Err != nil:
+		o.Output, o.Return = result{unknown: true}, int64(time.Hour)
+	case o.Input.(op).put:
+		mark, _ := r.Value.Done(o.Input.(op).body)
+		o.Output = result{mark: mark}
+	default:
+		o.Output = result{mark: r.Value.Mark, body: string(r.Value.Body)}
+	}
+}
+
+func (l *lab) pump(steps int, loss float64) {
+	for range steps {
+		l.take()
+		l.now += time.Duration(l.rng.IntN(4)) * time.Millisecond
+		for _, p := range l.props {
+			p.Tick(l.now)
+		}
+		l.take()
+		if len(l.bag) == 0 {
+			continue
+		}
+		i := l.rng.IntN(len(l.bag))
+		m := l.bag[i]
+		if l.rng.Float64() > 0.05 {
+			l.bag = append(l.bag[:i], l.bag[i+1:]...)
+		}
+		if l.rng.Float64() < loss || l.down[m.to] {
+			continue
+		}
+		l.deliver(m)
+	}
+}
+
+func (l *lab) deliver(m mail) {
+	if a := l.disks[m.to]; a != nil {
+		switch x := m.msg.(type) {
+		case Prepare:
+			r, _ := a.Prepare(x)
+			l.bag = append(l.bag, mail{to: m.from, msg: r})
+		case Accept:
+			r, _ := a.Accept(x)
+			l.bag = append(l.bag, mail{to: m.from, msg: r})
+		}
+		return
+	}
+	p := l.props[int(m.to[0]-'0')]
+	switch x := m.msg.(type) {
+	case Promise:
+		p.OnPromise(l.now, x)
+	case Accepted:
+		p.OnAccepted(l.now, x)
+	}
+}
+
+func (l *lab) ask(put bool, expect uint64) {
+	l.id++
+	i := l.rng.IntN(len(l.props))
+	o := op{put: put, expect: expect, body: fmt.Sprint(l.id)}
+	l.open[[2]uint64{uint64(i), l.id}] = len(l.ops)
+	l.ops = append(l.ops, porcupine.Operation{ClientId: int(l.id), Input: o, Call: int64(l.now), Output: result{unknown: true}, Return: int64(time.Hour)})
+	var change Change
+	if put {
+		change = func(cur *Value) (*Value, error) {
+			if _, done := cur.Done(o.body); done {
+				return nil, nil
+			}
+			if cur.Mark != o.expect {
+				return nil, &ConflictError{Mark: cur.Mark}
+			}
+			cur.Mark++
+			cur.Body = []byte(o.body)
+			cur.Note(o.body)
+			return cur, nil
+		}
+	}
+	l.props[i].Do(l.now, l.now+2*time.Second, l.id, change, l.rng.IntN(4) == 0)
+}
+
+func (l *lab) reseat() {
+	var next []Voter
+	for _, i := range l.rng.Perm(6)[:3] {
+		next = append(next, Voter{Disk: fmt.Sprintf("d%d", i)})
+	}
+	p := l.props[l.rng.IntN(len(l.props))]
+	l.id += 2
+	p.Do(l.now, l.now+2*time.Second, l.id-1, func(cur *Value) (*Value, error) {
+		if len(cur.Next) > 0 {
+			return nil, nil
+		}
+		cur.Next, cur.Seat = next, cur.Seat+1
+		return cur, nil
+	}, false)
+	p.Do(l.now, l.now+2*time.Second, l.id, func(cur *Value) (*Value, error) {
+		if len(cur.Next) == 0 {
+			return nil, nil
+		}
+		cur.Voters, cur.Next, cur.Seat = cur.Next, nil, cur.Seat+1
+		return cur, nil
+	}, false)
+}
+
+func (l *lab) run() (accepted int) {
+	for range 24 {
+		for range 1 + l.rng.IntN(3) {
+			l.ask(l.rng.IntN(3) > 0, uint64(accepted))
+		}
+		if l.rng.IntN(4) == 0 {
+			l.reseat()
+		}
+		l.down = map[string]bool{fmt.Sprintf("d%d", l.rng.IntN(8)): true}
+		l.pump(40+l.rng.IntN(160), 0.1)
+		for _, a := range l.disks {
+			if a.Value != nil {
+				accepted = max(accepted, int(a.Value.Mark))
+			}
+		}
+	}
+	l.down = nil
+	l.pump(2000, 0)
+	return accepted
+}
+
+func TestRegisterIsLinearizable(t *testing.T) {
+	taken := 0
+	for seed := range uint64(*seeds) {
+		l := newLab(seed)
+		taken += l.run()
+		if l.gone {
+			t.Fatalf("seed %d: a voter set without the value", seed)
+		}
+		if !porcupine.CheckOperations(model, l.ops) {
+			t.Fatalf("seed %d: history is not linearizable: %v", seed, l.ops)
+		}
+	}
+	if taken < 4*(*seeds) {
+		t.Errorf("only %d changes were taken: the test proves little", taken)
+	}
+}
+
+func TestCheckerSeesALostWrite(t *testing.T) {
+	ops := []porcupine.Operation{
+		{ClientId: 1, Input: op{put: true, body: "x"}, Call: 0, Output: result{mark: 1}, Return: 1},
+		{ClientId: 2, Input: op{}, Call: 2, Output: result{}, Return: 3},
+	}
+	if porcupine.CheckOperations(model, ops) {
+		t.Error("a lost write passed")
+	}
+}
+
+func TestPutAgainWithTheSameIdIsSafe(t *testing.T) {
+	v := &Value{Mark: 4}
+	v.Note("a")
+	if _, ok := v.Done("a"); !ok {
+		t.Error("a taken change is forgotten")
+	}
+	for i := range 2 * keptOps {
+		v.Note(fmt.Sprint(i))
+	}
+	if len(v.Ops) != keptOps {
+		t.Errorf("%d operations are kept", len(v.Ops))
+	}
+}
+
+func TestEmptiedVoterDoesNotVoteAsItsOldSelf(t *testing.T) {
+	a := &Acceptor{State{Disk: "new"}}
+	if r, write := a.Prepare(Prepare{Disk: "old", Ballot: Ballot{N: 1}}); r.Disk != "" || write {
+		t.Error("promised for another disk")
+	}
+	if r, write := a.Accept(Accept{Disk: "old", Ballot: Ballot{N: 1}, Value: &Value{}}); r.Disk != "" || write {
+		t.Error("accepted for another disk")
+	}
+}
--- a/stage/disk.go
+++ b/stage/disk.go
@@ -127,17 +127,17 @@
 	if slices.Equal(kept, now) {
 		return kept
 	}
+	same := 0
+	for same < min(len(kept), len(now)) && kept[same] == now[same] {
+		same++
+	}
 	switch d.rng.IntN(3) {
 	case 0:
 		return kept
 	case 1:
-		return slices.Clone(now[:d.rng.IntN(len(now)+1)])
+		return slices.Clone(now[:same+d.rng.IntN(len(now)-same+1)])
 	}
 	left = slices.Clone(now)
-	same := 0
-	for same < min(len(kept), len(now)) && kept[same] == now[same] {
-		same++
-	}
 	for i := same; i < len(left); i++ {
 		if d.rng.IntN(4) == 0 {
 			left[i] = 0
--- /dev/null
+++ b/vault/vault_test.go
@@ -0,0 +1,156 @@
+package vault_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/mallowbridge/mallowbridge/stage"
+	"github.com/mallowbridge/mallowbridge/vault"
+)
+
+func load(d *stage.Disk) (v *vault.Vault, all []string, err error) {
+	v, slot, entries, err := vault.Open(d, 300)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, s := range bytes.Fields(slot) {
+		all = append(all, string(s))
+	}
+	for _, e := range entries {
+		all = append(all, string(e))
+	}
+	return v, all, nil
+}
+
+func write(d *stage.Disk, n int) (acked int) {
+	v, all, err := load(d)
+	if err != nil {
+		return 0
+	}
+	if v.Empty() && v.Turn(nil) != nil {
+		return 0
+	}
+	for i := range n {
+		e := fmt.Sprintf("entry-%03d", i)
+		all = append(all, e)
+		if err = v.Add([][]byte{[]byte(e)}); err == nil && v.Full() {
+			err = v.Turn(bytes.Join(byteses(all), []byte(" ")))
+		}
+		if err != nil {
+			return acked
+		}
+		acked++
+	}
+	return acked
+}
+
+func byteses(ss []string) (bs [][]byte) {
+	for _, s := range ss {
+		bs = append(bs, []byte(s))
+	}
+	return bs
+}
+
+func TestPowerCutAtEachWrite(t *testing.T) {
+	const n = 40
+	whole := stage.NewDisk(1)
+	write(whole, n)
+	if whole.Writes < 90 {
+		t.Fatalf("only %d writes: the test no longer covers turns", whole.Writes)
+	}
+	for seed := range uint64(6) {
+		for cut := range whole.Writes {
+			d := stage.NewDisk(seed)
+			d.CutAt = cut
+			acked := write(d, n)
+			d.PowerCut()
+			_, got, err := load(d)
+			if err != nil {
+				t.Fatalf("seed %d, cut at %d: %v", seed, cut, err)
+			}
+			if len(got) < acked || len(got) > acked+1 {
+				t.Fatalf("seed %d, cut at %d: %d acknowledged, %d read", seed, cut, acked, len(got))
+			}
+			for i, e := range got {
+				if e != fmt.Sprintf("entry-%03d", i) {
+					t.Fatalf("seed %d, cut at %d: entry %d reads %q", seed, cut, i, e)
+				}
+			}
+		}
+	}
+}
+
+func TestEachDamagedByteIsFoundOrOutlived(t *testing.T) {
+	const n = 40
+	for _, name := range []string{"slot0", "slot1", "log0", "log1"} {
+		whole := stage.NewDisk(1)
+		write(whole, n)
+		for at := range whole.Size(name) {
+			d := stage.NewDisk(1)
+			write(d, n)
+			d.Rot(name, at)
+			_, got, err := load(d)
+			var bad *vault.UnreadableError
+			if errors.As(err, &bad) {
+				if bad.File == "" {
+					t.Fatalf("%s at %d: nameless", name, at)
+				}
+				continue
+			}
+			if err != nil || len(got) < n-1 {
+				t.Fatalf("%s damaged at %d: read %d of %d, %v", name, at, len(got), n, err)
+			}
+			for i, e := range got {
+				if e != fmt.Sprintf("entry-%03d", i) {
+					t.Fatalf("%s damaged at %d: entry %d reads %q", name, at, i, e)
+				}
+			}
+		}
+	}
+}
+
+func TestNothingIsWrittenAfterAFailedSync(t *testing.T) {
+	d := stage.NewDisk(1)
+	write(d, 3)
+	v, _, err := load(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.BadSync = true
+	if v.Add([][]byte{[]byte("lost")}) == nil {
+		t.Fatal("a failed sync was taken for a good one")
+	}
+	d.BadSync = false
+	var broken *vault.BrokenError
+	if err = v.Add([][]byte{[]byte("more")}); !errors.As(err, &broken) {
+		t.Fatalf("wrote on after a failed sync: %v", err)
+	}
+	if err = v.Turn([]byte("x")); !errors.As(err, &broken) {
+		t.Fatalf("turned slots after a failed sync: %v", err)
+	}
+}
+
+func TestFolderKeepsWhatWasWritten(t *testing.T) {
+	path := t.TempDir()
+	for round := range 3 {
+		f, err := vault.OpenFolder(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		v, slot, entries, err := vault.Open(f, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if round == 0 {
+			if !v.Empty() || v.Turn([]byte("s0")) != nil || v.Add([][]byte{[]byte("a"), []byte("b")}) != nil {
+				t.Fatal("first round")
+			}
+			continue
+		}
+		if string(slot) != "s0" || len(entries) != 2 || string(entries[1]) != "b" {
+			t.Fatalf("round %d read %q and %q", round, slot, entries)
+		}
+	}
+}
