Clear deadlines that outlive a request; take only 429 for a refusal

Cause, found by reading gate with ill will: the write deadline set per piece stayed on the kept connection and failed the next request 10 s later; the server's read deadline of 30 s stayed and would have cancelled longer streams as if the agent had hung up. Ruled out: net/http resetting them (it does so only with WriteTimeout set). A 503 proves no more that nothing ran than any other answer, so only the replica's own 429 counts as refused.

--- a/gate/chain.go
+++ b/gate/chain.go
@@ -158,6 +158,7 @@
 		return g.bad(x, http.StatusBadRequest, "body: must be JSON")
 	}
 	x.body = body
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
 	return false
 }
 
--- a/gate/course.go
+++ b/gate/course.go
@@ -103,7 +103,7 @@
 	if got := resp.Header.Get("X-Request-Attempt-Id"); got != c.place.Go {
 		return mallowbridge.Broken, &mallowbridge.StrandError{Field: "X-Request-Attempt-Id", Got: got, Want: c.place.Go}
 	}
-	if resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable {
+	if resp.StatusCode == http.StatusTooManyRequests {
 		return mallowbridge.Refused, nil
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/gate/trade.go
+++ b/gate/trade.go
@@ -26,6 +26,7 @@
 	})
 	t := &trade{g: g, x: x, enc: json.NewEncoder(x.w), ctl: http.NewResponseController(x.w)}
 	defer t.drop()
+	defer func() { _ = t.ctl.SetWriteDeadline(time.Time{}) }()
 	for {
 		var steps chan step
 		if t.course != nil {
@@ -63,7 +64,9 @@
 		t.drop()
 		t.course, t.piece = g.start(x, d), false
 	case mallowbridge.Send:
-		t.course.permit <- true
+		if t.course != nil {
+			t.course.permit <- true
+		}
 	case mallowbridge.Recall, mallowbridge.Cancel:
 		t.drop()
 	case mallowbridge.Deny:
