--- a/bid/match.go
+++ b/bid/match.go
@@ -77,6 +77,15 @@
 	return rooms
 }
 
+func (m *Market) Roomless(now time.Duration) (why string) {
+	for _, n := range m.capacity(now) {
+		if n > 0 {
+			return ""
+		}
+	}
+	return "no replica has room for this node yet"
+}
+
 func (m *Market) place(now time.Duration, id int, a *Ask, c choice) {
 	o := &m.Offers[a.Offer]
 	m.goSeq++
--- a/cmd/mallowbridge/main_test.go
+++ b/cmd/mallowbridge/main_test.go
@@ -4,7 +4,10 @@
 	"net"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,7 +28,7 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"await": await, "config": config,
+			"await": await, "awaitmatch": awaitMatch, "config": config, "signal": send,
 		},
 	})
 }
@@ -48,6 +51,26 @@
 	}
 }
 
+func awaitMatch(ts *testscript.TestScript, neg bool, args []string) {
+	want := regexp.MustCompile(args[0])
+	end := time.Now().Add(30 * time.Second)
+	for ts.Exec(args[1], args[2:]...) != nil || want.MatchString(ts.ReadFile("stdout")) == neg {
+		if time.Now().After(end) {
+			ts.Fatalf("gave up on %v", args)
+		}
+	}
+}
+
+func send(ts *testscript.TestScript, _ bool, args []string) {
+	for _, c := range ts.BackgroundCmds() {
+		if slices.Contains(c.Args, args[1]) {
+			ts.Check(c.Process.Signal(map[string]os.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}[args[0]]))
+			return
+		}
+	}
+	ts.Fatalf("no process of %s", args[1])
+}
+
 func config(ts *testscript.TestScript, _ bool, args []string) {
 	text := `{"offers":[{"name":"zoning","model":"m1","cold":{"startRoom":4,"rampMs":0},"replicas":[`
 	for i, addr := range args[1:] {
--- a/gate/health.go
+++ b/gate/health.go
@@ -16,7 +16,7 @@
 func (o *Ops) readiness(w http.ResponseWriter, r bunrouter.Request) error {
 	why := "draining"
 	if o.G.Open() {
-		o.G.desk.Look(func(r *mallowbridge.Router) { why = r.Stalled(o.Clock()) })
+		o.G.desk.Look(func(r *mallowbridge.Router) { why = r.Ready(o.Clock()) })
 	}
 	if why != "" {
 		w.Header().Set("Retry-After", "1")
--- a/router.go
+++ b/router.go
@@ -65,6 +65,14 @@
 
 func (r *Router) Stalled(now time.Duration) (why string) { return r.m.Stalled(now) }
 
+// Ready tells why requests should be sent elsewhere, or nothing.
+func (r *Router) Ready(now time.Duration) (why string) {
+	if why = r.m.Stalled(now); why != "" {
+		return why
+	}
+	return r.m.Roomless(now)
+}
+
 func (r *Router) Running() (n int) { return len(r.asks) }
 
 func (r *Router) IndexOff() { r.m.Index.Off = true }
--- a/stage/faults.go
+++ b/stage/faults.go
@@ -35,6 +35,7 @@
 	Race       = "race"
 	SwapVoters = "swap voters"
 	AllDown    = "all down"
+	LargePuts  = "large puts"
 )
 
 func (w *World) nodes(names []string) (ns []*Node) {
--- a/stage/orders.go
+++ b/stage/orders.go
@@ -17,16 +17,16 @@
 		w.after(f.For, func() { w.Empty(w.someNode(), f.On[0], true, func(crux.Answer) {}) })
 	case SwapVoters:
 		w.Call(w.someNode(), crux.Swap{ID: "swap" + f.At.String(), Names: f.On}, func(a crux.Answer) { w.Say("swap: %v", a.Err) })
-	case PutStorm, Race:
+	case PutStorm, Race, LargePuts:
 		end := w.now + f.For
 		var again func()
 		again = func() {
 			if w.now >= end {
 				return
 			}
-			for range map[string]int{PutStorm: 1, Race: 4}[f.Kind] {
+			for range map[string]int{PutStorm: 1, Race: 4, LargePuts: 1}[f.Kind] {
 				n := w.someNode()
-				w.Put(n, w.expect, w.varied(), func(a crux.Answer) {
+				w.Put(n, w.expect, w.varied(f.Kind == LargePuts), func(a crux.Answer) {
 					if a.Err != nil {
 						w.Report.PutsDenied++
 						w.learn(a.Err)
@@ -36,7 +36,7 @@
 					w.expect = max(w.expect, a.Value.Mark)
 				})
 			}
-			w.after(120*time.Millisecond, again)
+			w.after(map[bool]time.Duration{false: 120 * time.Millisecond, true: 1500 * time.Millisecond}[f.Kind == LargePuts], again)
 		}
 		again()
 	}
--- a/stage/report.go
+++ b/stage/report.go
@@ -92,10 +92,16 @@
 	}
 }
 
-func (w *World) varied() (body []byte) {
+const largeBytes = 1000 << 10
+
+func (w *World) varied(large bool) (body []byte) {
 	w.asks++
 	patience := []byte(`"replaceLostVoterMs":` + strconv.FormatUint(15000+w.asks, 10))
-	return bytes.Replace(w.S.Charter, []byte(`"replaceLostVoterMs":15000`), patience, 1)
+	body = bytes.Replace(w.S.Charter, []byte(`"replaceLostVoterMs":15000`), patience, 1)
+	if large {
+		body = append(body, bytes.Repeat([]byte(" "), largeBytes-len(body))...)
+	}
+	return body
 }
 
 func (w *World) collect() {
@@ -142,7 +148,7 @@
 func (w *World) await(from time.Duration, then func()) {
 	ready := 0
 	for _, n := range w.Nodes {
-		if n.Alive && n.router.Stalled(n.local()) == "" {
+		if n.Alive && n.router.Ready(n.local()) == "" {
 			ready++
 		}
 	}
--- a/stage/scenes.go
+++ b/stage/scenes.go
@@ -138,6 +138,7 @@
 			one(PutStorm, 9*sec, 25*sec), one(SwapVoters, 12*sec, 0, "n2", "n3", "n4"), one(Kill, 12200*time.Millisecond, 2*sec, "n1", "n2"),
 			one(SwapVoters, 20*sec, 0, "n1", "n3", "n4"), one(Power, 28*sec, 3*sec, "n2"))},
 		{Name: "operators race", Shape: "tramites", Faults: fixed(one(Race, 9*sec, 20*sec)), Change: func(s *Scenario) { s.Loss, s.Dup = 0.02, 0.02 }},
+		{Name: "configurations at their size limit", Shape: "atlas", Faults: fixed(one(LargePuts, 9*sec, 8*sec), one(Power, 13*sec, 2*sec, "n2"))},
 		{Name: "all machines lose power", Shape: "tramites", Faults: fixed(one(PutStorm, 9*sec, 6*sec), one(AllDown, 14*sec, 3*sec))},
 		{Name: "last fault at day's end", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			return []Fault{one(PutStorm, 10*sec, 20*sec), one(Wipe, 35*sec, -1, some(rng, s.Voters, 1)...)}
--- a/stage/scenes_test.go
+++ b/stage/scenes_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -30,6 +31,9 @@
 					if all := w.Report.Total(); all.Done < 100 {
 						t.Errorf("only %d requests were done", all.Done)
 					}
+					if puts(w.S.Faults) && w.Report.PutsTaken < 3 {
+						t.Errorf("only %d configurations were taken, %d denied", w.Report.PutsTaken, w.Report.PutsDenied)
+					}
 					var out strings.Builder
 					w.Report.Write(&out)
 					t.Log("\n" + out.String())
@@ -42,6 +46,10 @@
 	}
 }
 
+func puts(fs []Fault) (any bool) {
+	return slices.ContainsFunc(fs, func(f Fault) bool { return f.Kind == PutStorm || f.Kind == Race || f.Kind == LargePuts })
+}
+
 func TestSameSeedSameRun(t *testing.T) {
 	if raced {
 		t.Skip("a world is one goroutine; the plain run covers it")
