--- a/bid/bid_test.go
+++ b/bid/bid_test.go
@@ -236,3 +236,24 @@
 		t.Error("an older report came into force")
 	}
 }
+
+func TestABrokenReplicaIsTakenForColdUntilItsReportSaysOtherwise(t *testing.T) {
+	m := market(8, once)
+	m.Offers[0].ColdRamp, m.Offers[0].ColdRoom = 8*time.Second, 1
+	m.Reps[0].eff, m.Reps[1].eff = -1, -1
+	id := m.Arrive(now, Ask{})
+	p := only(t, m.Tick(now), Place)
+	m.Finish(now, id, p.Go, Unreached)
+	m.Tick(now)
+	if n := m.free(now+time.Second, p.Rep); n > 1 {
+		t.Errorf("%d goes at once for a replica that may have restarted", n)
+	}
+	m.Same(now-time.Second, p.Rep)
+	if n := m.free(now+time.Second, p.Rep); n > 1 {
+		t.Errorf("a report from before cleared it: %d", n)
+	}
+	m.Same(now+500*time.Millisecond, p.Rep)
+	if n := m.free(now+time.Second, p.Rep); n != 8 {
+		t.Errorf("%d of 8 after a report of the same instance", n)
+	}
+}
--- a/bid/course.go
+++ b/bid/course.go
@@ -200,6 +200,7 @@
 
 func (m *Market) ail(now time.Duration, r *Replica) {
 	r.breaks = min(r.breaks+1, 5)
+	r.Doubt = now
 	r.Backoff = max(r.Backoff, now+time.Duration(r.breaks*r.breaks)*150*time.Millisecond)
 }
 
--- a/bid/market.go
+++ b/bid/market.go
@@ -126,7 +126,14 @@
 
 func (m *Market) Cold(now time.Duration, rep int, age time.Duration) {
 	r := &m.Reps[rep]
-	r.ColdAt, r.Warm, r.eff, r.factor = now-age, false, -1, 1
+	r.ColdAt, r.Warm, r.Doubt, r.eff, r.factor = now-age, false, 0, -1, 1
+}
+
+// Same says that a report as of then came from the instance that is known already.
+func (m *Market) Same(asOf time.Duration, rep int) {
+	if asOf > m.Reps[rep].Doubt {
+		m.Reps[rep].Doubt = 0
+	}
 }
 
 func (m *Market) Report(asOf time.Duration, rep, usage int) { m.Reps[rep].report(asOf, usage) }
--- a/bid/table.go
+++ b/bid/table.go
@@ -110,6 +110,7 @@
 
 	ColdAt    time.Duration
 	Warm      bool
+	Doubt     time.Duration
 	Backoff   time.Duration
 	Usage     int
 	UsageAsOf time.Duration
@@ -153,6 +154,9 @@
 }
 
 func (r *Replica) coldness(now, ramp time.Duration) (c float64) {
+	if r.Doubt > 0 && ramp > 0 {
+		return 1
+	}
 	if r.Warm || ramp <= 0 || now-r.ColdAt >= ramp {
 		return 0
 	}
--- a/crux/witness.go
+++ b/crux/witness.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	witnesses    = 3
+	witnesses    = 6
+	perDomain    = 2
 	witnessAgain = 60 * time.Millisecond
 	witnessFor   = 10 * time.Minute
 	witnessWait  = 200 * time.Millisecond
@@ -74,11 +75,11 @@
 			names = append(names, m.Name)
 		}
 	}
-	taken := map[string]bool{}
+	taken := map[string]int{}
 	for _, name := range bid.Nearest("once/"+request, names) {
 		m, _ := n.Kin.Table.Get(name)
-		if len(addrs) < witnesses && !taken[m.Domain] {
-			taken[m.Domain] = true
+		if len(addrs) < witnesses && taken[m.Domain] < perDomain {
+			taken[m.Domain]++
 			addrs = append(addrs, m.Addr)
 		}
 	}
--- a/order.go
+++ b/order.go
@@ -123,6 +123,8 @@
 		r.instance(now, id, e.InstanceID, e.Age, 0)
 	} else if back {
 		r.m.Cold(now, id, e.Age)
+	} else {
+		r.m.Same(now-e.Lag, id)
 	}
 	row.Up = true
 	row.Leaving = e.Leaving || s.listing == "leaving" || s.listing == "gone"
--- a/stage/orders.go
+++ b/stage/orders.go
@@ -45,7 +45,7 @@
 func (w *World) learn(err error) {
 	var c *pact.ConflictError
 	if errors.As(err, &c) {
-		w.expect = max(w.expect, c.Mark)
+		w.expect = c.Mark
 	}
 }
 
--- a/stage/scenes.go
+++ b/stage/scenes.go
@@ -113,6 +113,16 @@
 			}
 			return fs
 		}},
+		{Name: "a second, later loss", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+			fs = append(fs, one(PutStorm, 9*sec, 26*sec))
+			for i := range 5 {
+				at := time.Duration(10000+5000*i+rng.IntN(300)) * time.Millisecond
+				v := some(rng, s.Voters, 3)
+				fs = append(fs, one(Kill, at, 1200*time.Millisecond, v[0]), one(SlowDisk, at, 790*time.Millisecond, v[1]), one(Power, at+800*time.Millisecond, 200*time.Millisecond, v[1]),
+					one(Kill, at+810*time.Millisecond, 3*sec, v[2]))
+			}
+			return fs
+		}},
 		{Name: "disks slow, stall, fill", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			fs = append(fs, one(PutStorm, 9*sec, 22*sec))
 			for i, k := range []string{SlowDisk, StallDisk, FullDisk, BadDisk} {
