--- a/bid/market.go
+++ b/bid/market.go
@@ -15,12 +15,14 @@
 	Silence    time.Duration
 	PredWeight float64
 	Home       float64
+	Doubt      float64
+	Kept       float64
 	RoundRobin bool
 	Index      hint.Config
 }
 
 func Defaults(self, domain string) (c Config) {
-	return Config{Self: self, Domain: domain, Backlog: 256, Feed: time.Second, Silence: 8 * time.Second, PredWeight: 0.7, Home: 4, Index: hint.Defaults()}
+	return Config{Self: self, Domain: domain, Backlog: 256, Feed: time.Second, Silence: 8 * time.Second, PredWeight: 0.7, Home: 4, Doubt: 1.2, Kept: 2, Index: hint.Defaults()}
 }
 
 const firstHold = 500 * time.Millisecond
--- a/bid/match.go
+++ b/bid/match.go
@@ -39,6 +39,9 @@
 		if !any {
 			wait = 0
 		}
+		if a.At == now {
+			wait = time.Duration(float64(wait) * m.cfg.Doubt)
+		}
 		least := o.Base + time.Duration(a.Tail)*o.PerToken
 		switch {
 		case now+least+wait > a.Deadline && any:
@@ -60,6 +63,9 @@
 		k := m.Offers[a.Offer].Kinds[a.Kind]
 		slack := max(float64(a.Deadline-now)/float64(k.Bound), 0.05)
 		a.price = k.Value * k.Urgency / slack
+		if now-a.At > k.Bound/16 {
+			a.price *= m.cfg.Kept
+		}
 	}
 	sort.SliceStable(m.waiting, func(i, j int) bool {
 		return m.Asks.rows[m.waiting[i]].price > m.Asks.rows[m.waiting[j]].price
