Drop what nothing calls; prune divisions in one place

Found by reading the whole change: a woken flag, a disk's remove, a peak count and three accessors had no caller, and the loop that forgets old divisions of room stood twice.

--- a/bid/divide.go
+++ b/bid/divide.go
@@ -47,9 +47,7 @@
 		d.part[i] = m.split(i, d)
 	}
 	m.divs = append(m.divs, d)
-	for len(m.divs) > 1 && m.divs[1].at <= now-grace {
-		m.divs = m.divs[1:]
-	}
+	m.prune(now)
 	for i := range m.Reps {
 		m.Reps[i].eff = -1
 	}
@@ -142,9 +140,7 @@
 
 func (m *Market) age(now time.Duration) {
 	old := len(m.divs)
-	for len(m.divs) > 1 && m.divs[1].at <= now-grace {
-		m.divs = m.divs[1:]
-	}
+	m.prune(now)
 	ripe := len(m.divs) == 1 && m.divs[0].at <= now-grace
 	if old == len(m.divs) && ripe == m.ripe {
 		return
@@ -154,3 +150,9 @@
 		m.Reps[i].eff = -1
 	}
 }
+
+func (m *Market) prune(now time.Duration) {
+	for len(m.divs) > 1 && m.divs[1].at <= now-grace {
+		m.divs = m.divs[1:]
+	}
+}
--- a/crux/join.go
+++ b/crux/join.go
@@ -111,5 +111,3 @@
 	}
 	return ""
 }
-
-func (n *Node) Why() (why string) { return n.why }
--- a/kin/watch.go
+++ b/kin/watch.go
@@ -66,7 +66,6 @@
 	heard   time.Duration
 	ticked  time.Duration
 	news    []Member
-	Woke    bool
 	Deaths  uint64
 	Refutes uint64
 }
@@ -174,7 +173,6 @@
 
 func (k *Kin) Tick(now time.Duration) (sends []Send) {
 	if now-k.ticked > k.cfg.Gap {
-		k.Woke = true
 		k.probes = map[uint64]*probe{}
 		for name := range k.suspect {
 			k.suspect[name] = now
--- a/stage/disk.go
+++ b/stage/disk.go
@@ -100,11 +100,6 @@
 	return nil
 }
 
-func (d *Disk) Remove(name string) (err error) {
-	delete(d.files, name)
-	return nil
-}
-
 func (d *Disk) PowerCut() {
 	var names []string
 	for name := range d.files {
--- a/stage/replica.go
+++ b/stage/replica.go
@@ -56,7 +56,6 @@
 
 	Admitted, Refused, Floods  uint64
 	CachedTokens, PrefixTokens uint64
-	MaxRunning                 int
 }
 
 func NewReplica(m Model, instance string, now time.Duration) (r *Replica) {
@@ -123,7 +122,6 @@
 	full := float64(len(r.running)) / float64(r.Room)
 	cold := r.coldness(now)
 	r.running[goID] = true
-	r.MaxRunning = max(r.MaxRunning, len(r.running))
 	if cold > 0 && len(r.running) > r.Bears(now) {
 		r.Floods++
 	}
--- a/stage/world.go
+++ b/stage/world.go
@@ -96,10 +96,6 @@
 
 func (w *World) Rep(name string) (r *Rep) { return w.byRep[name] }
 
-func (w *World) Until(t time.Duration) { w.run(t) }
-
-func (w *World) After(d time.Duration, do func()) { w.after(d, do) }
-
 func (w *World) Boot() {
 	for _, n := range w.Nodes {
 		w.after(time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() { n.start() })
--- a/vault/disk.go
+++ b/vault/disk.go
@@ -15,7 +15,6 @@
 	Append(name string, data []byte) (err error)
 	Sync(name string) (err error)
 	SyncFolder() (err error)
-	Remove(name string) (err error)
 	Cut(name string, size int) (err error)
 }
 
@@ -99,18 +98,6 @@
 	return trace.ConvertSystemError(dir.Sync())
 }
 
-func (f *Folder) Remove(name string) (err error) {
-	if file := f.open[name]; file != nil {
-		_ = file.Close()
-		delete(f.open, name)
-	}
-	err = os.Remove(f.at(name))
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
-	return trace.ConvertSystemError(err)
-}
-
 func (f *Folder) Cut(name string, size int) (err error) {
 	file, err := f.file(name)
 	if err != nil {
