--- a/bid/course.go
+++ b/bid/course.go
@@ -27,21 +27,17 @@
 
 func (m *Market) Leave(now time.Duration, id int, goID uint64) {
 	a := m.current(id, goID)
-	if a == nil || a.State != Placed {
+	if a == nil || a.Vouched || (a.State != Placed && a.State != Sent) {
 		m.do(Act{Kind: Recall, Ask: id, Go: goID, Rep: -1})
 		return
 	}
 	o := &m.Offers[a.Offer]
 	r := &m.Reps[a.Rep]
-	if m.stalled(now) == "" && r.fit(now) && (!a.Second || o.second.spend()) {
-		a.State, a.Sent = Sent, now
-		if a.Second {
-			m.N.Seconds++
-			o.Again++
-		} else {
-			m.N.Firsts++
-			o.Firsts++
-			o.second.earn()
+	vouched := a.State == Sent
+	if m.stalled(now) == "" && r.fit(now) && (vouched || !a.Second || o.second.spend()) {
+		a.State, a.Sent, a.Vouched = Sent, now, vouched
+		if !vouched {
+			m.paid(a, o)
 		}
 		m.do(Act{Kind: Send, Ask: id, Go: goID, Rep: a.Rep})
 		return
@@ -49,7 +45,8 @@
 	m.N.Rechecked++
 	m.do(Act{Kind: Recall, Ask: id, Go: goID, Rep: a.Rep})
 	m.release(now, a)
-	if a.Second && r.fit(now) {
+	a.MayRan = a.MayRan || vouched
+	if !vouched && a.Second && r.fit(now) {
 		m.N.SecondsSpared++
 		o.Spared++
 		m.deny(now, id, "second goes are spent", 2*time.Second)
@@ -58,8 +55,23 @@
 	m.again(id, a)
 }
 
+func (m *Market) paid(a *Ask, o *Offer) {
+	if a.Second {
+		m.N.Seconds++
+		o.Again++
+		return
+	}
+	if a.Paid {
+		return
+	}
+	a.Paid = true
+	m.N.Firsts++
+	o.Firsts++
+	o.second.earn()
+}
+
 func (m *Market) again(id int, a *Ask) {
-	a.State, a.Rep, a.Prefill, a.Go = Waiting, -1, -1, 0
+	a.State, a.Rep, a.Prefill, a.Go, a.Vouched = Waiting, -1, -1, 0, false
 	m.waiting = append(m.waiting, id)
 }
 
--- a/bid/table.go
+++ b/bid/table.go
@@ -29,6 +29,8 @@
 	Gos       int
 	Second    bool
 	MayRan    bool
+	Vouched   bool
+	Paid      bool
 	Began     time.Duration
 	Sent      time.Duration
 	Confirmed bool
--- a/cmd/mallowbridge/daemon.go
+++ b/cmd/mallowbridge/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/uptrace/bunrouter"
 	"gopkg.in/tomb.v2"
 
+	"github.com/mallowbridge/mallowbridge"
 	"github.com/mallowbridge/mallowbridge/crux"
 	"github.com/mallowbridge/mallowbridge/gate"
 	"github.com/mallowbridge/mallowbridge/hearth"
@@ -88,10 +89,10 @@
 		t.Kill(nil)
 		return err
 	}
-	g := gate.New(h.Desk, func(request string) (first bool) {
-		a := h.Call(crux.Witness{Request: request})
-		return a.Err != nil || a.First
+	g := gate.New(h.Desk, func(request string) (how mallowbridge.How) {
+		return crux.Vouch(h.Call(crux.Witness{Request: request}))
 	}, gate.Bounds(s.MaxBody, s.MaxStreams))
+	g.Front = h.Front
 	ops := &gate.Ops{C: h, G: g, Clock: hearth.Clock, Extra: func() map[string]uint64 {
 		n := &h.Net.N
 		return map[string]uint64{
--- a/crux/witness.go
+++ b/crux/witness.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/mallowbridge/mallowbridge"
 	"github.com/mallowbridge/mallowbridge/bid"
 )
 
@@ -37,6 +38,14 @@
 	rid  uint64
 }
 
+// Vouch tells how a go ends by the witnesses' answer before it began, or nothing when it may leave.
+func Vouch(a Answer) (how mallowbridge.How) {
+	if a.Err == nil && !a.First {
+		return mallowbridge.Withheld
+	}
+	return ""
+}
+
 func newWitness() (w witness) {
 	return witness{seen: map[string]seen{}, asks: map[uint64]*asking{}}
 }
--- a/desk.go
+++ b/desk.go
@@ -36,6 +36,9 @@
 	for {
 		select {
 		case <-d.t.Dying():
+			for req := range d.subs {
+				d.shut(req)
+			}
 			return nil
 		case <-tick.C:
 			d.deal(d.r.Step(d.clock(), Tick{}))
@@ -53,14 +56,22 @@
 	}
 	if arr, ok := a.ev.(Arrive); ok {
 		if d.subs[arr.Request] != nil {
-			a.sub <- Decision{Verdict: Deny, Request: arr.Request, Why: "request is already running here", Repeat: true}
+			a.sub <- Decision{Verdict: Deny, Request: arr.Request, Why: runsHere, Repeat: true}
+			close(a.sub)
 			return
 		}
 		d.subs[arr.Request] = a.sub
 	}
 	d.deal(d.r.Step(d.clock(), a.ev))
 	if h, ok := a.ev.(Hangup); ok {
-		delete(d.subs, h.Request)
+		d.shut(h.Request)
+	}
+}
+
+func (d *Desk) shut(req string) {
+	if sub := d.subs[req]; sub != nil {
+		delete(d.subs, req)
+		close(sub)
 	}
 }
 
@@ -73,10 +84,13 @@
 		select {
 		case sub <- x:
 		default:
+			d.shut(x.Request)
+			d.deal(d.r.Step(d.clock(), Hangup{Request: x.Request}))
+			continue
 		}
 		switch x.Verdict {
 		case Deny, Unknown, Partial, Done:
-			delete(d.subs, x.Request)
+			d.shut(x.Request)
 		}
 	}
 }
@@ -94,9 +108,12 @@
 
 const subRoom = 64
 
+// Submit gives the channel of a request's decisions; it is closed after the last, and early when nobody reads it.
 func (d *Desk) Submit(a Arrive) (decisions <-chan Decision) {
 	sub := make(chan Decision, subRoom)
-	d.put(ask{ev: a, sub: sub})
+	if !d.put(ask{ev: a, sub: sub}) {
+		close(sub)
+	}
 	return sub
 }
 
--- a/gate/chain.go
+++ b/gate/chain.go
@@ -13,7 +13,8 @@
 	"github.com/mallowbridge/mallowbridge"
 )
 
-type Witness func(request string) (first bool)
+// Witness tells how a go ends before it began, or nothing when it may leave.
+type Witness func(request string) (how mallowbridge.How)
 
 type Limits struct {
 	MaxBody, MaxStreams int
@@ -37,6 +38,7 @@
 	desk    *mallowbridge.Desk
 	witness Witness
 	limits  Limits
+	Front   string
 	room    chan struct{}
 	shut    atomic.Bool
 	N       Counters
@@ -64,7 +66,7 @@
 type Filter func(x *Exchange) (answered bool)
 
 func (g *Gate) Handler() (h bunrouter.HandlerFunc) {
-	return g.chain(g.ready, g.name, g.read, g.admit, g.trade)
+	return g.chain(g.name, g.ready, g.admit, g.read, g.trade)
 }
 
 func (g *Gate) chain(fs ...Filter) (h bunrouter.HandlerFunc) {
@@ -96,6 +98,7 @@
 		o.AfterMs = after.Milliseconds()
 	}
 	o.Request = x.request
+	x.w.Header().Set("X-Node", g.Front)
 	x.w.Header().Set("Content-Type", "application/json")
 	x.w.Header().Set("X-Outcome", o.Outcome)
 	x.w.WriteHeader(status)
@@ -114,9 +117,25 @@
 	return true
 }
 
+func (g *Gate) repeat(x *Exchange, why string) (answered bool) {
+	g.N.Repeats.Add(1)
+	g.say(x, http.StatusConflict, Outcome{Outcome: "repeat", Why: why}, 0)
+	return true
+}
+
+// away denies at the door, unless this node gave the request its one go before.
+func (g *Gate) away(x *Exchange, why string) (answered bool) {
+	had := ""
+	g.desk.Look(func(r *mallowbridge.Router) { had = r.Had(x.r.Param("offer"), x.r.Param("kind"), x.request) })
+	if had != "" {
+		return g.repeat(x, had)
+	}
+	return g.deny(x, why, time.Second)
+}
+
 func (g *Gate) ready(x *Exchange) (answered bool) {
 	if g.shut.Load() {
-		return g.deny(x, "draining", time.Second)
+		return g.away(x, "draining")
 	}
 	return false
 }
@@ -168,6 +187,6 @@
 		x.release = func() { <-g.room }
 		return false
 	default:
-		return g.deny(x, "too many streams here", time.Second)
+		return g.away(x, "too many streams here")
 	}
 }
--- a/gate/course.go
+++ b/gate/course.go
@@ -15,31 +15,26 @@
 
 const headBytes = 64 << 10
 
-type step struct {
-	line  mallowbridge.Line
-	end   mallowbridge.How
-	leave bool
-	cause error
-}
-
 type course struct {
 	g      *Gate
 	place  mallowbridge.Decision
 	x      *Exchange
-	steps  chan step
-	permit chan bool
+	steps  chan mallowbridge.Wire
+	orders chan mallowbridge.MoveKind
 	quit   chan struct{}
 }
 
 func (g *Gate) start(x *Exchange, place mallowbridge.Decision) (c *course) {
-	c = &course{g: g, place: place, x: x, steps: make(chan step), permit: make(chan bool, 1), quit: make(chan struct{})}
+	c = &course{
+		g: g, place: place, x: x, steps: make(chan mallowbridge.Wire), orders: make(chan mallowbridge.MoveKind, 2), quit: make(chan struct{}),
+	}
 	go c.run()
 	return c
 }
 
 func (c *course) stop() { close(c.quit) }
 
-func (c *course) give(s step) (ok bool) {
+func (c *course) give(s mallowbridge.Wire) (ok bool) {
 	select {
 	case c.steps <- s:
 		return true
@@ -51,7 +46,7 @@
 func (c *course) run() {
 	conn, err := net.DialTimeout("tcp", c.place.Addr, c.g.limits.Dial)
 	if err != nil {
-		c.give(step{end: mallowbridge.Unreached, cause: err})
+		c.give(mallowbridge.Dialed{Go: c.place.Go})
 		return
 	}
 	done := make(chan struct{})
@@ -63,30 +58,31 @@
 		}
 		_ = conn.Close()
 	}()
-	if !c.give(step{leave: true}) {
+	if !c.give(mallowbridge.Dialed{Go: c.place.Go, OK: true}) {
 		return
 	}
-	select {
-	case ok := <-c.permit:
-		if !ok {
+	for {
+		select {
+		case m := <-c.orders:
+			if m == mallowbridge.Write {
+				_ = c.talk(conn)
+				c.give(mallowbridge.Lost{Go: c.place.Go})
+				return
+			}
+			if !c.give(mallowbridge.Vouched{Go: c.place.Go, How: c.g.witness(c.x.request)}) {
+				return
+			}
+		case <-c.quit:
 			return
 		}
-	case <-c.quit:
-		return
-	}
-	if c.place.Once && !c.g.witness(c.x.request) {
-		c.give(step{end: mallowbridge.Withheld})
-		return
 	}
-	how, err := c.talk(conn)
-	c.give(step{end: how, cause: err})
 }
 
-func (c *course) talk(conn net.Conn) (how mallowbridge.How, err error) {
+func (c *course) talk(conn net.Conn) (err error) {
 	_ = conn.SetWriteDeadline(time.Now().Add(c.g.limits.Write))
 	req := c.request()
 	if err = req.Write(conn); err != nil {
-		return mallowbridge.Broken, err
+		return err
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(c.g.limits.Head))
 	src := &io.LimitedReader{R: conn, N: headBytes}
@@ -96,49 +92,30 @@
 		resp, err = http.ReadResponse(r, req)
 	}
 	if err != nil {
-		return mallowbridge.Broken, err
+		return err
 	}
 	src.N = 1 << 62
 	defer resp.Body.Close()
-	if got := resp.Header.Get("X-Request-Attempt-Id"); got != c.place.Go {
-		return mallowbridge.Broken, &mallowbridge.StrandError{Field: "X-Request-Attempt-Id", Got: got, Want: c.place.Go}
-	}
-	if resp.StatusCode == http.StatusTooManyRequests {
-		return mallowbridge.Refused, nil
-	}
-	if resp.StatusCode != http.StatusOK {
-		return mallowbridge.Broken, &mallowbridge.StrandError{Field: "status", Got: resp.Status, Want: "200 OK"}
+	replied := mallowbridge.Replied{Go: c.place.Go, Attempt: resp.Header.Get("X-Request-Attempt-Id"), Status: resp.StatusCode}
+	if !c.give(replied) {
+		return nil
 	}
-	return c.stream(conn, resp.Body)
-}
-
-func (c *course) stream(conn net.Conn, body io.Reader) (how mallowbridge.How, err error) {
-	strand := mallowbridge.Strand{Go: c.place.Go}
-	lines := bufio.NewScanner(body)
+	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), c.g.limits.LineBytes)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(c.g.limits.Line))
 		if !lines.Scan() {
-			if err = lines.Err(); err == nil {
-				err = io.ErrUnexpectedEOF
-			}
-			return mallowbridge.Broken, err
+			return lines.Err()
 		}
 		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
 			continue
 		}
 		var l mallowbridge.Line
 		if err = json.Unmarshal(lines.Bytes(), &l); err != nil {
-			return mallowbridge.Broken, err
-		}
-		if err = strand.Take(l); err != nil {
-			return mallowbridge.Broken, err
-		}
-		if !c.give(step{line: l}) {
-			return mallowbridge.Broken, nil
+			return err
 		}
-		if strand.Ended() {
-			return mallowbridge.Whole, nil
+		if !c.give(mallowbridge.Read{Go: c.place.Go, Line: l}) {
+			return nil
 		}
 	}
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -69,7 +69,10 @@
 		r.desk.Tell(ev)
 	}
 	r.later(3 * time.Second)
-	r.gate = gate.New(r.desk, func(string) bool { return first }, gate.Bounds(4096, 2))
+	r.gate = gate.New(r.desk, func(string) mallowbridge.How {
+		return map[bool]mallowbridge.How{true: "", false: mallowbridge.Withheld}[first]
+	}, gate.Bounds(4096, 2))
+	r.gate.Front = "n1.b"
 	mux := bunrouter.New()
 	mux.POST("/v1/offers/:offer/:kind", r.gate.Handler())
 	r.srv = httptest.NewServer(mux)
--- a/gate/trade.go
+++ b/gate/trade.go
@@ -11,40 +11,44 @@
 const bytesPerToken = 4
 
 type trade struct {
-	g      *Gate
-	x      *Exchange
-	course *course
-	began  bool
-	piece  bool
-	enc    *json.Encoder
-	ctl    *http.ResponseController
+	g       *Gate
+	x       *Exchange
+	passage mallowbridge.Passage
+	course  *course
+	began   bool
+	enc     *json.Encoder
+	ctl     *http.ResponseController
 }
 
 func (g *Gate) trade(x *Exchange) (answered bool) {
 	in := g.desk.Submit(mallowbridge.Arrive{
 		Request: x.request, Offer: x.r.Param("offer"), Kind: x.r.Param("kind"), Prefix: x.prefix, Tail: len(x.body) / bytesPerToken,
 	})
-	t := &trade{g: g, x: x, enc: json.NewEncoder(x.w), ctl: http.NewResponseController(x.w)}
+	t := &trade{
+		g: g, x: x, passage: mallowbridge.Passage{Request: x.request}, enc: json.NewEncoder(x.w), ctl: http.NewResponseController(x.w),
+	}
 	defer t.drop()
 	defer func() { _ = t.ctl.SetWriteDeadline(time.Time{}) }()
-	for {
-		var steps chan step
+	for final := false; !final; {
+		var steps chan mallowbridge.Wire
 		if t.course != nil {
 			steps = t.course.steps
 		}
 		select {
 		case <-x.r.Context().Done():
 			g.N.Hangups.Add(1)
-			g.desk.Tell(mallowbridge.Hangup{Request: x.request})
+			t.do(t.passage.Happened(mallowbridge.HungUp{}))
 			return true
-		case d := <-in:
-			if t.decided(d) {
-				return true
+		case d, ok := <-in:
+			if !ok {
+				d = mallowbridge.Decision{Verdict: mallowbridge.Unknown, Why: "node is stopping"}
 			}
+			final = t.do(t.passage.Decided(d))
 		case s := <-steps:
-			t.stepped(s)
+			final = t.do(t.passage.Happened(s))
 		}
 	}
+	return true
 }
 
 func (t *trade) drop() {
@@ -54,86 +58,62 @@
 	}
 }
 
-func (t *trade) decided(d mallowbridge.Decision) (final bool) {
-	g, x := t.g, t.x
-	if t.course != nil && d.Go != "" && d.Go != t.course.place.Go && d.Verdict != mallowbridge.Place {
-		return false
-	}
-	switch d.Verdict {
-	case mallowbridge.Place:
-		t.drop()
-		t.course, t.piece = g.start(x, d), false
-	case mallowbridge.Send:
-		if t.course != nil {
-			t.course.permit <- true
-		}
-	case mallowbridge.Recall, mallowbridge.Cancel:
-		t.drop()
-	case mallowbridge.Deny:
-		switch {
-		case d.Bad:
-			return g.bad(x, http.StatusNotFound, d.Why)
-		case d.Repeat:
-			g.N.Repeats.Add(1)
-			g.say(x, http.StatusConflict, Outcome{Outcome: "repeat", Why: d.Why}, 0)
+func (t *trade) do(moves []mallowbridge.Move) (final bool) {
+	for _, m := range moves {
+		switch m.Kind {
+		case mallowbridge.Dial:
+			t.course = t.g.start(t.x, m.Place)
+		case mallowbridge.Vouch, mallowbridge.Write:
+			t.course.orders <- m.Kind
+		case mallowbridge.Drop:
+			t.drop()
+		case mallowbridge.Tell:
+			if e, ok := m.Event.(mallowbridge.End); ok && e.How == mallowbridge.Broken {
+				t.g.N.Breaks.Add(1)
+			}
+			t.g.desk.Tell(m.Event)
+		case mallowbridge.Pass:
+			t.pass(m)
+		case mallowbridge.Close:
+			t.close(m.Place, m.Outcome)
 			return true
 		}
-		return g.deny(x, d.Why, d.After)
-	case mallowbridge.Unknown:
-		g.N.Unknown.Add(1)
-		if t.began {
-			panic(http.ErrAbortHandler)
-		}
-		g.say(x, http.StatusBadGateway, Outcome{Outcome: "unknown", Go: d.Go, Why: d.Why}, d.After)
-		return true
-	case mallowbridge.Partial:
-		g.N.Partial.Add(1)
-		panic(http.ErrAbortHandler)
-	case mallowbridge.Done:
-		g.N.Done.Add(1)
-		return true
 	}
 	return false
 }
 
-func (t *trade) stepped(s step) {
-	req, id := t.x.request, t.course.place.Go
-	desk := t.g.desk
-	switch {
-	case s.leave:
-		desk.Tell(mallowbridge.Leave{Request: req, Go: id})
-	case s.end != "":
-		if s.end == mallowbridge.Broken {
-			t.g.N.Breaks.Add(1)
-		}
-		t.drop()
-		desk.Tell(mallowbridge.End{Request: req, Go: id, How: s.end})
-	default:
-		t.line(s.line, req, id, desk)
+func (t *trade) close(d mallowbridge.Decision, outcome string) {
+	g, x := t.g, t.x
+	switch outcome {
+	case mallowbridge.OutBad:
+		g.bad(x, http.StatusNotFound, d.Why)
+	case mallowbridge.OutRepeat:
+		g.repeat(x, d.Why)
+	case mallowbridge.OutDenied:
+		g.deny(x, d.Why, d.After)
+	case mallowbridge.OutUnknown:
+		g.N.Unknown.Add(1)
+		g.say(x, http.StatusBadGateway, Outcome{Outcome: outcome, Go: d.Go, Why: d.Why}, d.After)
+	case mallowbridge.OutPartial:
+		g.N.Partial.Add(1)
+		panic(http.ErrAbortHandler)
+	case mallowbridge.OutDone:
+		g.N.Done.Add(1)
 	}
 }
 
-func (t *trade) line(l mallowbridge.Line, req, id string, desk *mallowbridge.Desk) {
-	if !t.piece {
-		t.piece = true
-		desk.Tell(mallowbridge.Head{Request: req, Go: id, InstanceID: l.InstanceID})
-	}
-	if l.Piece == nil && !l.End {
-		return
-	}
+func (t *trade) pass(m mallowbridge.Move) {
 	if !t.began {
 		t.began = true
-		desk.Tell(mallowbridge.Piece{Request: req, Go: id})
 		h := t.x.w.Header()
 		h.Set("Content-Type", "application/x-ndjson")
-		h.Set("X-Request-Id", req)
-		h.Set("X-Request-Attempt-Id", id)
+		h.Set("X-Request-Id", t.x.request)
+		h.Set("X-Request-Attempt-Id", m.Place.Go)
 		t.x.w.WriteHeader(http.StatusOK)
 	}
-	l.Request = req
 	_ = t.ctl.SetWriteDeadline(time.Now().Add(t.g.limits.Write))
-	if t.enc.Encode(l) != nil || t.ctl.Flush() != nil {
-		desk.Tell(mallowbridge.Hangup{Request: req})
+	if t.enc.Encode(m.Line) != nil || t.ctl.Flush() != nil {
+		t.do(t.passage.Happened(mallowbridge.HungUp{}))
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/hearth/hearth.go
+++ b/hearth/hearth.go
@@ -37,6 +37,7 @@
 	node   *crux.Node
 	keeper *crux.Keeper
 	boot   string
+	Front  string
 }
 
 type call struct {
@@ -67,6 +68,7 @@
 		S: s, T: t, Log: lg, in: make(chan crux.In, 1024), calls: make(chan call, 64), writes: make(chan []crux.Write, 1024),
 		joins: make(chan *follower), leaves: make(chan *follower), boot: strconv.FormatUint(inc, 36),
 	}
+	h.Front = s.Name + "." + h.boot
 	cfg := crux.Config{
 		Name: s.Name, Addr: s.Listen, HTTP: s.HTTP, Domain: s.Domain, Seeds: s.Seeds, Inc: inc, Seed: seed(),
 		Kin: kin.Defaults(), Rumor: rumor.Defaults(),
--- a/muse/plan.go
+++ b/muse/plan.go
@@ -43,7 +43,7 @@
 	return []string{
 		stage.Kill, stage.Power, stage.Freeze, stage.CutNode, stage.CutOneWay, stage.CutDomain, stage.SplitCore, stage.Wipe, stage.Move,
 		stage.SlowDisk, stage.StallDisk, stage.FullDisk, stage.BadDisk, stage.RepCrash, stage.RepDark, stage.Release, stage.Empty,
-		stage.PutStorm, stage.Race, stage.SwapVoters, stage.AllDown, stage.LargePuts,
+		stage.PutStorm, stage.Race, stage.SwapVoters, stage.AllDown, stage.LargePuts, stage.RepTwist,
 	}
 }
 
--- a/router.go
+++ b/router.go
@@ -154,7 +154,7 @@
 		return deny("no picture yet", false)
 	}
 	if _, twice := r.asks[e.Request]; twice {
-		return deny("request is already running here", true)
+		return deny(runsHere, true)
 	}
 	offer, ok := r.offers[e.Offer]
 	if !ok {
@@ -166,7 +166,7 @@
 	}
 	o := &r.m.Offers[offer]
 	if !o.Kinds[kind].Repeatable && r.once.had(now, e.Request) {
-		return deny("request had its one go", true)
+		return deny(hadOne, true)
 	}
 	parts, err := hint.Parse(r.model(e.Offer), e.Prefix)
 	if err != nil {
@@ -177,6 +177,27 @@
 	return d, false
 }
 
+const (
+	hadOne   = "request had its one go"
+	runsHere = "request is already running here"
+)
+
+// Had tells why a request that is sent again must not be denied as not run, or nothing.
+func (r *Router) Had(offer, kind, request string) (why string) {
+	if _, twice := r.asks[request]; twice {
+		return runsHere
+	}
+	o, known := r.offers[offer]
+	if !known {
+		return ""
+	}
+	k, known := r.kinds[o][kind]
+	if _, had := r.once.at[request]; had && known && !r.m.Offers[o].Kinds[k].Repeatable {
+		return hadOne
+	}
+	return ""
+}
+
 func (r *Router) model(offer string) (model string) {
 	for i := range r.pic.Charter.Offers {
 		if r.pic.Charter.Offers[i].Name == offer {
--- a/stage/audit.go
+++ b/stage/audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/pact"
@@ -15,6 +16,8 @@
 	secondWindow  = 10 * time.Second
 	secondShare   = 0.2
 	secondPlus    = 24
+	newsTravel    = 500 * time.Millisecond
+	storyLines    = 90
 )
 
 const (
@@ -28,8 +31,24 @@
 	NoReturn    = "service did not return"
 	TwoValues   = "one mark, two configurations"
 	TwoHolders  = "two holders of one claim"
+	Undue       = "contents of a configuration not obeyed"
+	AgainNot    = "second go of a kind that may not be repeated"
+	StaleGuess  = "warm guess outlived its time"
+	Unproved    = "counted as confirmed without proof"
 )
 
+// A fact is known outside the nodes; domain is where it was told.
+type fact struct {
+	at     time.Duration
+	domain string
+	mark   uint64
+}
+
+type span struct {
+	domain      string
+	from, until time.Duration
+}
+
 type stamp struct {
 	at   time.Duration
 	mark uint64
@@ -38,39 +57,69 @@
 type Audit struct {
 	w        *World
 	Breaches []tally.Breach
-	marks    []stamp
+	marks    []fact
 	high     uint64
-	emptyAt  map[string]time.Duration
-	leftAt   map[string]time.Duration
+	emptyAt  map[string]fact
+	leftAt   map[string]fact
 	obeyed   map[string]uint64
 	bodies   map[uint64]string
-	away     map[string]time.Duration
+	contents []*content
+	cuts     []span
 	firsts   []time.Duration
 	seconds  []time.Duration
-	goes     map[string]int
-	Exempt   uint64
+	guesses  map[guessKey]time.Duration
+	proofs   map[guessKey]string
+	Story    []string
+	Exempt   int
 	orders   map[string][]stamp
 }
 
 func newAudit(w *World) (a *Audit) {
 	return &Audit{
-		w: w, emptyAt: map[string]time.Duration{}, leftAt: map[string]time.Duration{}, obeyed: map[string]uint64{},
-		bodies: map[uint64]string{}, away: map[string]time.Duration{}, goes: map[string]int{}, orders: map[string][]stamp{},
+		w: w, emptyAt: map[string]fact{}, leftAt: map[string]fact{}, obeyed: map[string]uint64{}, bodies: map[uint64]string{},
+		guesses: map[guessKey]time.Duration{}, proofs: map[guessKey]string{}, orders: map[string][]stamp{},
+	}
+}
+
+// known tells from when on a node must count with a fact: a cut-off domain has until the cut heals for what was told
+// outside, and no node has longer.
+func (a *Audit) known(n *Node, f fact) (at time.Duration) {
+	at = f.at
+	for _, s := range a.cuts {
+		if (n.Domain == s.domain) != (f.domain == s.domain) && at >= s.from-newsTravel && at < s.until {
+			at = s.until
+		}
+	}
+	return at
+}
+
+// late tells whether a node acts against a fact longer than it may; gos that only a cut excuses are counted.
+func (a *Audit) late(n *Node, f fact, within time.Duration) (yes bool) {
+	if a.w.now-f.at <= within {
+		return false
+	}
+	if a.w.now-a.known(n, f) <= within {
+		a.Exempt++
+		return false
 	}
+	return true
 }
 
 func (a *Audit) breach(what, who, detail string) {
 	a.w.Say("BREACH %s: %s: %s", what, who, detail)
+	if len(a.Breaches) == 0 {
+		a.Story = slices.Clone(a.w.Trace[max(0, len(a.w.Trace)-storyLines):])
+	}
 	if len(a.Breaches) < 50 {
 		a.Breaches = append(a.Breaches, tally.Breach{What: what, Request: who, Detail: fmt.Sprintf("at %s: %s", a.w.now, detail)})
 	}
 }
 
-func (a *Audit) accepted(v *pact.Value) {
+func (a *Audit) accepted(n *Node, v *pact.Value) {
 	a.same(v)
 	if v.Mark > a.high {
 		a.high = v.Mark
-		a.marks = append(a.marks, stamp{at: a.w.now, mark: v.Mark})
+		a.marks = append(a.marks, fact{at: a.w.now, mark: v.Mark, domain: n.Domain})
 		a.w.Say("accepted mark %d", v.Mark)
 	}
 }
@@ -83,58 +132,52 @@
 	a.bodies[v.Mark] = text
 }
 
-func (a *Audit) emptied(domain string, yes bool) {
+func (a *Audit) emptied(n *Node, domain string, yes bool) {
 	delete(a.emptyAt, domain)
 	if yes {
-		a.emptyAt[domain] = a.w.now
+		a.emptyAt[domain] = fact{at: a.w.now, domain: n.Domain}
 	}
 }
 
-func (a *Audit) leaves(rep string) {
+func (a *Audit) leaves(n *Node, rep string) {
 	if _, ok := a.leftAt[rep]; !ok {
-		a.leftAt[rep] = a.w.now
+		a.leftAt[rep] = fact{at: a.w.now, domain: n.Domain}
 	}
 }
 
 func (a *Audit) back(rep string) { delete(a.leftAt, rep) }
 
-func (a *Audit) due(before time.Duration) (mark uint64) {
-	for _, s := range a.marks {
-		if s.at <= before {
-			mark = s.mark
+func (a *Audit) due(n *Node) (mark uint64) {
+	for i := len(a.marks) - 1; i >= 0; i-- {
+		f := a.marks[i]
+		if a.w.now-f.at > orderWithin && a.w.now-a.known(n, f) > orderWithin {
+			return f.mark
 		}
 	}
-	return mark
-}
-
-func (a *Audit) isAway(n *Node) (yes bool) {
-	until, ok := a.away[n.Name]
-	return ok && a.w.now < until
+	return 0
 }
 
 func (a *Audit) sent(f *flight, c *conn) {
 	now, n := a.w.now, f.n
-	mark := n.router.Mark()
-	if due := a.due(now - orderWithin); mark < due {
-		if a.isAway(n) {
+	mark, due := n.router.Mark(), a.due(n)
+	if mark < due {
+		a.breach(OldPicture, n.Name, fmt.Sprintf("mark %d, due %d", mark, due))
+	}
+	for i := len(a.marks) - 1; i >= 0 && a.marks[i].mark > mark; i-- {
+		if a.marks[i].mark > due && now-a.marks[i].at > orderWithin {
 			a.Exempt++
-		} else {
-			a.breach(OldPicture, n.Name, fmt.Sprintf("mark %d, due %d", mark, due))
+			break
 		}
 	}
 	if mark < a.obeyed[n.Name] {
 		a.breach(BackPicture, n.Name, fmt.Sprintf("mark %d after %d", mark, a.obeyed[n.Name]))
 	}
 	a.obeyed[n.Name] = max(a.obeyed[n.Name], mark)
-	if at, ok := a.emptyAt[c.rep.Domain]; ok && now-at > emptyWithin && !a.isAway(n) {
-		a.breach(ToEmptied, c.rep.Name, n.Name)
-	}
-	if at, ok := a.leftAt[c.rep.Name]; ok && now-at > leavingWithin && !a.isAway(n) {
+	if left, ok := a.leftAt[c.rep.Name]; ok && a.late(n, left, leavingWithin) {
 		a.breach(ToLeaving, c.rep.Name, n.Name)
 	}
-	key := f.ask.Request + "/" + n.Name
-	a.goes[key]++
-	if a.goes[key] == 1 {
+	a.obeysContents(f, c, due)
+	if f.gos == 1 {
 		a.firsts = append(a.firsts, now)
 		return
 	}
@@ -151,7 +194,7 @@
 	}
 }
 
-func (a *Audit) begun(r *Rep, f *flight, c *conn) {
+func (a *Audit) begun(r *Rep) {
 	if r.m.Floods > 0 {
 		a.breach(Flooded, r.Name, fmt.Sprintf("%d running, bears %d, cold for %s", len(r.m.running), r.m.Bears(a.w.now), a.w.now-r.m.born))
 		a.w.Report.Floods += r.m.Floods
--- /dev/null
+++ b/stage/config.go
@@ -0,0 +1,86 @@
+package stage
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+)
+
+const largeBytes = 1000 << 10
+
+type doc = map[string]any
+
+// varied makes configurations that change what traffic does: replicas, rooms, roles, domains and kinds come and go.
+func (w *World) varied(large bool) (body []byte) {
+	w.asks++
+	var d doc
+	if err := json.Unmarshal(w.S.Charter, &d); err != nil {
+		panic(err)
+	}
+	d["replaceLostVoterMs"] = 15000 + w.asks
+	for _, o := range d["offers"].([]any) {
+		w.vary(o.(doc))
+	}
+	if large {
+		d["offers"] = append(d["offers"].([]any), padding()...)
+	}
+	body, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+func (w *World) vary(offer doc) {
+	rng := w.whim
+	reps := offer["replicas"].([]any)
+	rng.Shuffle(len(reps), func(i, j int) { reps[i], reps[j] = reps[j], reps[i] })
+	reps = reps[:len(reps)-rng.IntN(4)]
+	split := rng.IntN(6) == 0
+	for i, r := range reps {
+		rep := r.(doc)
+		if rng.IntN(8) == 0 {
+			rep["room"] = 6 + rng.IntN(7)
+		}
+		if split && i < 4 {
+			rep["role"] = "prefill"
+		}
+		if rng.IntN(16) == 0 {
+			rep["domain"] = w.S.Shape.Domains[rng.IntN(len(w.S.Shape.Domains))]
+		}
+	}
+	offer["replicas"] = reps
+	kinds := offer["kinds"].([]any)
+	if second := kinds[1].(doc); rng.IntN(3) == 0 {
+		second["repeatable"] = false
+	}
+	if rng.IntN(12) == 0 {
+		kinds = append(kinds[:1:1], kinds[2:]...)
+	}
+	offer["kinds"] = kinds
+}
+
+// padding is real work for a reader: hundreds of offers, thousands of kinds, thousands of replicas that are down.
+func padding() (offers []any) {
+	rng := rand.New(rand.NewPCG(3, 43))
+	long := strings.Repeat("x", 44)
+	size := 0
+	for i := 0; size < largeBytes; i++ {
+		var reps, kinds []any
+		for j := range 12 {
+			reps = append(reps, doc{"name": fmt.Sprintf("pad-%d-%d", i, j), "addr": fmt.Sprintf("10.9.%d.%d:9000", i, j), "domain": string(rune('a' + rng.IntN(3)))})
+		}
+		for j := range 48 {
+			kinds = append(kinds, doc{"name": fmt.Sprintf("%s-%d", long, j), "firstTokenMs": 1000 + rng.IntN(9000)})
+		}
+		o := doc{"name": fmt.Sprintf("pad-%d", i), "model": "m1", "replicas": reps, "kinds": kinds}
+		raw, err := json.Marshal(o)
+		if err != nil {
+			panic(err)
+		}
+		size += len(raw)
+		offers = append(offers, o)
+	}
+	return offers[:len(offers)-1]
+}
--- /dev/null
+++ b/stage/contents.go
@@ -0,0 +1,85 @@
+package stage
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/pact"
+)
+
+// content is what one configuration allows. It may be in force from the moment that it was sent, unless it was denied.
+type content struct {
+	mark     uint64
+	accepted bool
+	denied   bool
+	kinds    map[string]bool
+	reps     map[string]charter.Replica
+}
+
+func (a *Audit) offered(expect uint64, body []byte) (c *content) {
+	ch, err := charter.Read(body)
+	if err != nil {
+		panic(err)
+	}
+	c = &content{mark: expect + 1, kinds: map[string]bool{}, reps: map[string]charter.Replica{}}
+	for _, o := range ch.Offers {
+		for _, k := range o.Kinds {
+			c.kinds[o.Name+"/"+k.Name] = k.Repeatable
+		}
+		for _, r := range o.Replicas {
+			c.reps[r.Name] = r
+		}
+	}
+	a.contents = append(a.contents, c)
+	return c
+}
+
+func (c *content) answered(a crux.Answer) {
+	var conflict *pact.ConflictError
+	var unreached *pact.UnreachedError
+	c.accepted = a.Err == nil
+	c.denied = errors.As(a.Err, &conflict) || errors.As(a.Err, &unreached)
+}
+
+func (a *Audit) inForce(due uint64) (cs []*content) {
+	var base *content
+	for _, c := range a.contents {
+		switch {
+		case c.denied:
+		case c.mark > due:
+			cs = append(cs, c)
+		case c.accepted && (base == nil || c.mark > base.mark):
+			base = c
+		}
+	}
+	if base != nil {
+		cs = append(cs, base)
+	}
+	return cs
+}
+
+func (a *Audit) obeysContents(f *flight, c *conn, due uint64) {
+	listed, repeatable, kept := false, false, false
+	for _, x := range a.inForce(due) {
+		again, known := x.kinds[f.ask.Kind.Offer+"/"+f.ask.Kind.Name]
+		rep, has := x.reps[c.rep.Name]
+		if !known || !has || rep.Role == "prefill" {
+			continue
+		}
+		listed = true
+		repeatable = repeatable || again
+		empty, emptied := a.emptyAt[rep.Domain]
+		kept = kept || !emptied || !a.late(f.n, empty, emptyWithin)
+	}
+	switch {
+	case !listed:
+		a.breach(Undue, f.n.Name, fmt.Sprintf("%s on %s, mark %d, due %d", f.ask.Kind.Name, c.rep.Name, f.n.router.Mark(), due))
+	case !kept:
+		a.breach(ToEmptied, c.rep.Name, f.n.Name)
+	}
+	if f.gos > 1 && listed && !repeatable {
+		a.breach(AgainNot, f.ask.Request, f.n.Name)
+	}
+}
--- a/stage/faults.go
+++ b/stage/faults.go
@@ -36,6 +36,7 @@
 	SwapVoters = "swap voters"
 	AllDown    = "all down"
 	LargePuts  = "large puts"
+	RepTwist   = "replica twists"
 )
 
 func (w *World) nodes(names []string) (ns []*Node) {
@@ -82,7 +83,7 @@
 		w.split(ns, f.For)
 	case SlowDisk, StallDisk, FullDisk, BadDisk:
 		w.ail(f, ns)
-	case RepCrash, RepDark:
+	case RepCrash, RepDark, RepTwist:
 		w.breakReplicas(f)
 	case Release:
 		w.release(f.On, 3*time.Second)
@@ -130,8 +131,8 @@
 		a, b := in(from), in(to)
 		return a != b && (both || a)
 	})
-	for _, n := range ns {
-		w.Audit.away[n.Name] = max(w.Audit.away[n.Name], w.now+d+3*time.Second)
+	if len(domain) > 0 {
+		w.Audit.cuts = append(w.Audit.cuts, span{domain: domain[0], from: w.now, until: w.now + d})
 	}
 	w.after(d, func() {
 		w.Say("cut heals")
@@ -180,6 +181,11 @@
 func (w *World) breakReplicas(f Fault) {
 	for _, name := range f.On {
 		r := w.byRep[name]
+		if f.Kind == RepTwist {
+			r.Twists = 40
+			w.after(f.For, func() { r.Twists = 0 })
+			continue
+		}
 		if f.Kind == RepDark {
 			r.Dark = true
 			w.after(f.For, func() {
--- a/stage/gate.go
+++ b/stage/gate.go
@@ -9,23 +9,23 @@
 )
 
 type flight struct {
-	w      *World
-	n      *Node
-	ask    Ask
-	domain string
-	try    int
-	at     time.Duration
-	got    tally.Got
-	conn   *conn
-	began  bool
-	over   bool
+	w       *World
+	n       *Node
+	ask     Ask
+	domain  string
+	try     int
+	at      time.Duration
+	got     tally.Got
+	passage mallowbridge.Passage
+	conn    *conn
+	gos     int
+	over    bool
 }
 
 type conn struct {
 	f     *flight
 	rep   *Rep
-	id    string
-	once  bool
+	place mallowbridge.Decision
 	open  bool
 	sent  bool
 	piece int
@@ -37,21 +37,26 @@
 
 func (w *World) submit(a Ask, domain string, try int) {
 	n := w.pick(domain)
-	f := &flight{w: w, n: n, ask: a, domain: domain, try: try, at: w.now}
+	f := &flight{w: w, n: n, ask: a, domain: domain, try: try, at: w.now, passage: mallowbridge.Passage{Request: a.Request}}
 	f.got = tally.Got{AtMs: w.now.Milliseconds(), Request: a.Request, Kind: a.Kind.Name, Repeatable: a.Kind.Repeatable}
 	if n == nil || !n.Alive {
 		f.end("lost")
 		return
 	}
-	f.got.Node = n.Name
+	f.got.Node = n.front
 	w.after(w.Net.delay(true), func() {
 		if !n.Alive {
 			f.end("lost")
 			return
 		}
 		n.live(func() {
-			n.asks[a.Request] = f
+			f.got.Node = n.front
 			w.Report.Arrived++
+			if n.asks[a.Request] != nil {
+				f.end(mallowbridge.OutRepeat)
+				return
+			}
+			n.asks[a.Request] = f
 			n.decide(n.router.Step(n.local(), mallowbridge.Arrive{
 				Request: a.Request, Offer: a.Kind.Offer, Kind: a.Kind.Name, Prefix: a.Prefix, Tail: a.TailTokens,
 			}))
@@ -59,6 +64,8 @@
 	})
 }
 
+func (f *flight) began() (yes bool) { return len(f.got.Pieces) > 0 }
+
 func (f *flight) end(outcome string) {
 	if f.over {
 		return
@@ -67,15 +74,15 @@
 	f.got.Outcome = outcome
 	f.w.Got = append(f.w.Got, f.got)
 	f.w.Report.take(f)
-	if f.w.S.Resend && f.try == 0 && !f.began && (outcome == "lost" || outcome == "unknown") {
+	if f.w.S.Resend && f.try == 0 && !f.began() && (outcome == "lost" || outcome == mallowbridge.OutUnknown) {
 		f.w.after(time.Second, func() { f.w.submit(f.ask, f.domain, 1) })
 	}
 }
 
 func (f *flight) orphan() {
 	f.drop()
-	if f.began {
-		f.end("partial")
+	if f.began() {
+		f.end(mallowbridge.OutPartial)
 		return
 	}
 	f.end("lost")
@@ -90,10 +97,10 @@
 	c.open = false
 	if c.sent {
 		f.w.after(f.w.Net.delay(true), func() {
-			if c.rep.conns[c.id] == c {
-				delete(c.rep.conns, c.id)
-				c.rep.m.Release(f.w.now, c.id)
-				c.rep.note("cut", f.ask.Request, c.id, c.piece)
+			if c.rep.conns[c.place.Go] == c {
+				delete(c.rep.conns, c.place.Go)
+				c.rep.m.Release(f.w.now, c.place.Go)
+				c.rep.note("cut", f.ask.Request, c.place.Go, c.piece)
 			}
 		})
 	}
@@ -101,108 +108,83 @@
 
 func (n *Node) decide(ds []mallowbridge.Decision) {
 	for _, d := range ds {
-		f := n.asks[d.Request]
-		if f == nil {
-			continue
+		if f := n.asks[d.Request]; f != nil {
+			f.do(f.passage.Decided(d))
 		}
-		switch d.Verdict {
-		case mallowbridge.Place:
-			f.drop()
-			f.place(d)
-		case mallowbridge.Send:
-			f.send(d)
-		case mallowbridge.Recall, mallowbridge.Cancel:
-			f.drop()
-		default:
-			delete(n.asks, d.Request)
+	}
+}
+
+func (f *flight) do(moves []mallowbridge.Move) {
+	var next []mallowbridge.Decision
+	for _, m := range moves {
+		switch m.Kind {
+		case mallowbridge.Dial:
+			f.dial(m.Place)
+		case mallowbridge.Vouch:
+			f.vouch(f.conn)
+		case mallowbridge.Write:
+			f.gos++
+			f.w.Audit.sent(f, f.conn)
+			f.conn.travel()
+		case mallowbridge.Drop:
 			f.drop()
-			f.close(d)
+		case mallowbridge.Tell:
+			next = append(next, f.n.router.Step(f.n.local(), m.Event)...)
+		case mallowbridge.Pass:
+			f.pass(m.Line)
+		case mallowbridge.Close:
+			delete(f.n.asks, f.ask.Request)
+			if m.Outcome == mallowbridge.OutDenied {
+				f.w.Report.Whys[m.Place.Why]++
+				f.w.Report.DeniedLate += uint64(map[bool]int{true: 1}[m.Place.Late])
+			}
+			f.end(m.Outcome)
 		}
 	}
+	f.n.decide(next)
 }
 
-func (f *flight) close(d mallowbridge.Decision) {
-	switch {
-	case d.Verdict == mallowbridge.Deny && d.Repeat:
-		f.end("repeat")
-	case d.Verdict == mallowbridge.Deny && d.Bad:
-		f.end("bad")
-	case d.Verdict == mallowbridge.Deny:
-		if d.Late {
-			f.w.Report.DeniedLate++
-		}
-		f.w.Report.Whys[d.Why]++
-		f.end("denied")
-	case d.Verdict == mallowbridge.Unknown && !f.began:
-		f.end("unknown")
-	case d.Verdict == mallowbridge.Done:
-		f.end("done")
-	default:
-		f.end("partial")
+func (f *flight) pass(l mallowbridge.Line) {
+	if l.Piece == nil {
+		return
+	}
+	if f.got.FirstMs == 0 {
+		f.got.FirstMs = max((f.w.now - f.at).Milliseconds(), 1)
 	}
+	f.got.Pieces = append(f.got.Pieces, l.Text)
 }
 
-func (f *flight) tell(c *conn, ev mallowbridge.Event) {
+func (c *conn) happened(in mallowbridge.Wire) {
+	f := c.f
 	f.n.live(func() {
-		if f.conn == c {
-			f.n.decide(f.n.router.Step(f.n.local(), ev))
+		if f.conn == c && !f.over {
+			f.do(f.passage.Happened(in))
 		}
 	})
 }
 
-func (f *flight) fail(c *conn, how mallowbridge.How) {
-	f.tell(c, mallowbridge.End{Request: f.ask.Request, Go: c.id, How: how})
-}
-
 func (c *conn) cutOff() (yes bool) {
 	net := c.f.w.Net
 	return net.blocked(c.f.n.Addr, c.rep.addr()) || net.blocked(c.rep.addr(), c.f.n.Addr)
 }
 
-func (f *flight) place(d mallowbridge.Decision) {
+func (f *flight) dial(d mallowbridge.Decision) {
 	w := f.w
 	r := w.byRep[d.Replica]
-	c := &conn{f: f, rep: r, id: d.Go, once: d.Once, open: true}
+	c := &conn{f: f, rep: r, place: d, open: true}
 	f.conn = c
+	w.Audit.placed(f, c)
 	w.Report.Predicted += uint64(d.Predicted)
 	w.Report.Confirmed += uint64(d.Confirmed)
 	if c.cutOff() {
-		f.n.later(dialFor, func() { f.fail(c, mallowbridge.Unreached) })
+		f.n.later(dialFor, func() { c.happened(mallowbridge.Dialed{Go: d.Go}) })
 		return
 	}
-	d2 := 2 * w.Net.delay(f.n.Domain == r.Domain)
-	f.n.later(d2, func() {
-		if !c.open {
-			return
-		}
-		if !r.Up {
-			f.fail(c, mallowbridge.Unreached)
-			return
-		}
-		f.tell(c, mallowbridge.Leave{Request: f.ask.Request, Go: c.id})
-	})
+	f.n.later(2*w.Net.delay(f.n.Domain == r.Domain), func() { c.happened(mallowbridge.Dialed{Go: d.Go, OK: r.Up}) })
 }
 
-func (f *flight) send(d mallowbridge.Decision) {
-	c := f.conn
-	if c == nil || c.id != d.Go {
-		return
-	}
-	f.w.Audit.sent(f, c)
-	if !c.once {
-		c.travel()
-		return
-	}
+func (f *flight) vouch(c *conn) {
 	f.w.Call(f.n, crux.Witness{Request: f.ask.Request}, func(a crux.Answer) {
-		f.n.live(func() {
-			if f.conn != c || !c.open {
-				return
-			}
-			if a.Err == nil && !a.First {
-				f.fail(c, mallowbridge.Withheld)
-				return
-			}
-			c.travel()
-		})
+		c.happened(mallowbridge.Vouched{Go: c.place.Go, How: crux.Vouch(a)})
 	})
 }
--- a/stage/node.go
+++ b/stage/node.go
@@ -20,6 +20,7 @@
 	frozen bool
 	inbox  []func()
 	life   uint64
+	front  string
 	skew   time.Duration
 	node   *crux.Node
 	router *mallowbridge.Router
@@ -79,7 +80,9 @@
 		cfg.Disk = &kept
 	}
 	n.node = crux.New(n.local(), cfg)
-	rc := mallowbridge.Defaults(n.Name, strconv.FormatUint(inc, 36), n.Domain)
+	boot := strconv.FormatUint(inc, 36)
+	n.front = n.Name + "." + boot
+	rc := mallowbridge.Defaults(n.Name, boot, n.Domain)
 	rc.Market.RoundRobin = w.S.RoundRob
 	n.router = mallowbridge.New(rc)
 	if w.S.IndexOff || w.S.RoundRob {
--- a/stage/rep.go
+++ b/stage/rep.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/mallowbridge/mallowbridge"
 	"github.com/mallowbridge/mallowbridge/charter"
 	"github.com/mallowbridge/mallowbridge/crux"
 	"github.com/mallowbridge/mallowbridge/tally"
@@ -17,6 +18,8 @@
 	Up      bool
 	Dark    bool
 	Leaving bool
+	since   time.Duration
+	Twists  int
 	lives   int
 	m       *Replica
 	conns   map[string]*conn
@@ -32,6 +35,7 @@
 			r := &Rep{w: w, Name: rc.Name, Domain: rc.Domain, conns: map[string]*conn{}}
 			w.Reps = append(w.Reps, r)
 			w.byRep[r.Name] = r
+			w.byURL[rc.Addr] = r
 			r.start(-time.Hour)
 		}
 	}
@@ -41,7 +45,7 @@
 
 func (r *Rep) start(born time.Duration) {
 	r.lives++
-	r.Up, r.Leaving = true, false
+	r.Up, r.Leaving, r.since, r.Twists = true, false, r.w.now, 0
 	r.m = NewReplica(r.w.S.Model, fmt.Sprintf("%s.%d", r.Name, r.lives), born)
 }
 
@@ -74,6 +78,25 @@
 	})
 }
 
+// twist spoils one line in some: it is lost, repeated, or of another go or instance. An answer is whole only if all are right.
+func (r *Rep) twist(l *mallowbridge.Line) (send bool) {
+	if r.Twists == 0 || r.w.whim.IntN(r.Twists) > 0 {
+		return true
+	}
+	switch r.w.whim.IntN(4) {
+	case 0:
+		return false
+	case 1:
+		l.Go = "someone.else.1"
+	case 2:
+		l.InstanceID += "x"
+	case 3:
+		n := max(*l.Piece-1, 1)
+		l.Piece = &n
+	}
+	return true
+}
+
 func (w *World) list(name, state string) {
 	var alive []*Node
 	for _, n := range w.Nodes {
@@ -90,7 +113,7 @@
 	if state == "present" {
 		w.Audit.back(name)
 	} else {
-		w.Audit.leaves(name)
+		w.Audit.leaves(n, name)
 	}
 	op := crux.Listed{At: uint64(w.now/time.Millisecond) + 1_700_000_000_000, Rows: []crux.Listing{{Replica: name, State: state}}}
 	w.Call(n, op, func(crux.Answer) {})
--- a/stage/report.go
+++ b/stage/report.go
@@ -1,11 +1,9 @@
 package stage
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/crux"
@@ -92,18 +90,6 @@
 	}
 }
 
-const largeBytes = 1000 << 10
-
-func (w *World) varied(large bool) (body []byte) {
-	w.asks++
-	patience := []byte(`"replaceLostVoterMs":` + strconv.FormatUint(15000+w.asks, 10))
-	body = bytes.Replace(w.S.Charter, []byte(`"replaceLostVoterMs":15000`), patience, 1)
-	if large {
-		body = append(body, bytes.Repeat([]byte(" "), largeBytes-len(body))...)
-	}
-	return body
-}
-
 func (w *World) collect() {
 	for _, r := range w.Reps {
 		if r.Up {
--- a/stage/scenes.go
+++ b/stage/scenes.go
@@ -9,7 +9,6 @@
 
 type Scene struct {
 	Name   string
-	Shape  string
 	Faults func(s Shape, rng *rand.Rand) (fs []Fault)
 	Change func(s *Scenario)
 }
@@ -50,28 +49,28 @@
 
 func trafficScenes() (all []Scene) {
 	return []Scene{
-		{Name: "calm", Shape: "tramites", Faults: fixed()},
-		{Name: "crowd and hot key", Shape: "tramites", Faults: fixed(), Change: func(s *Scenario) {
+		{Name: "calm", Faults: fixed()},
+		{Name: "crowd and hot key", Faults: fixed(), Change: func(s *Scenario) {
 			s.Load.HotShare = 0.4
 			s.Load.Crowds = []Crowd{{From: 10 * sec, Until: 16 * sec, Times: 4}, {From: 22 * sec, Until: 24 * sec, Times: 8}}
 		}},
-		{Name: "replicas crash", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "replicas crash", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			for i := range 6 {
 				fs = append(fs, one(RepCrash, time.Duration(9+3*i)*sec, 3*sec, some(rng, repNames(), 2)...))
 			}
 			return append(fs, one(RepCrash, 20*sec, -1, some(rng, repNames(), 2)...))
 		}},
-		{Name: "replicas go dark", Shape: "atlas", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "replicas go dark", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			return []Fault{one(RepDark, 10*sec, 12*sec, some(rng, repNames(), 3)...), one(RepDark, 20*sec, 10*sec, some(rng, repNames(), 3)...)}
 		}},
-		{Name: "rolling release", Shape: "tramites", Faults: fixed(one(Release, 10*sec, 0, repNames()...)), Change: func(s *Scenario) { s.Lasts = 90 * sec }},
-		{Name: "our processes are killed", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "rolling release", Faults: fixed(one(Release, 10*sec, 0, repNames()...)), Change: func(s *Scenario) { s.Lasts = 90 * sec }},
+		{Name: "our processes are killed", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			for i := range 8 {
 				fs = append(fs, one(Kill, time.Duration(9+3*i)*sec, 2500*time.Millisecond, some(rng, nodeNames(s), 2)...))
 			}
 			return fs
 		}},
-		{Name: "machines freeze and wake", Shape: "atlas", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "machines freeze and wake", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			for i := range 8 {
 				d := time.Duration(800+rng.IntN(7000)) * time.Millisecond
 				at := time.Duration(9+3*i) * sec
@@ -79,8 +78,8 @@
 			}
 			return append(fs, one(PutStorm, 10*sec, 15*sec))
 		}},
-		{Name: "domain is lost", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
-			d := s.Domains[rng.IntN(3)]
+		{Name: "domain is lost", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+			d := s.Domains[rng.IntN(len(s.Domains))]
 			var reps []string
 			for i, r := range repNames() {
 				if s.Domains[i%len(s.Domains)] == d {
@@ -89,8 +88,8 @@
 			}
 			return []Fault{one(Power, 12*sec, 15*sec, namesIn(s, d)...), one(RepCrash, 12*sec, 15*sec, reps...)}
 		}},
-		{Name: "domain emptied and restored", Shape: "atlas", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
-			return []Fault{one(Empty, 12*sec, 10*sec, s.Domains[rng.IntN(4)]), one(Freeze, 11*sec, 8*sec, some(rng, nodeNames(s), 2)...)}
+		{Name: "domain emptied and restored", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+			return []Fault{one(Empty, 12*sec, 10*sec, s.Domains[rng.IntN(len(s.Domains))]), one(Freeze, 11*sec, 8*sec, some(rng, nodeNames(s), 2)...)}
 		}},
 	}
 }
@@ -106,14 +105,14 @@
 
 func controlScenes() (all []Scene) {
 	return []Scene{
-		{Name: "power lost just after yes", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "power lost just after yes", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			fs = append(fs, one(PutStorm, 9*sec, 20*sec))
 			for i := range 10 {
 				fs = append(fs, one(Power, time.Duration(10000+2000*i+rng.IntN(900))*time.Millisecond, 800*time.Millisecond, some(rng, s.Voters, 1)...))
 			}
 			return fs
 		}},
-		{Name: "a second, later loss", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "a second, later loss", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			fs = append(fs, one(PutStorm, 9*sec, 26*sec))
 			for i := range 5 {
 				at := time.Duration(10000+5000*i+rng.IntN(300)) * time.Millisecond
@@ -123,37 +122,37 @@
 			}
 			return fs
 		}},
-		{Name: "disks slow, stall, fill", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "disks slow, stall, fill", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			fs = append(fs, one(PutStorm, 9*sec, 22*sec))
 			for i, k := range []string{SlowDisk, StallDisk, FullDisk, BadDisk} {
 				fs = append(fs, one(k, time.Duration(10+6*i)*sec, 4*sec, some(rng, s.Voters, 1)...))
 			}
 			return fs
 		}},
-		{Name: "core is split", Shape: "tramites", Faults: fixed(one(SplitCore, 12*sec, 10*sec, "n1", "n2", "n3"), one(Race, 10*sec, 16*sec))},
-		{Name: "domain is cut off", Shape: "atlas", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
-			return []Fault{one(CutDomain, 12*sec, 10*sec, s.Domains[rng.IntN(4)]), one(PutStorm, 10*sec, 15*sec)}
+		{Name: "core is split", Faults: fixed(one(SplitCore, 12*sec, 10*sec, "n1", "n2", "n3"), one(Race, 10*sec, 16*sec))},
+		{Name: "domain is cut off", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+			return []Fault{one(CutDomain, 12*sec, 10*sec, s.Domains[rng.IntN(len(s.Domains))]), one(PutStorm, 10*sec, 15*sec)}
 		}},
-		{Name: "single machines are cut off", Shape: "atlas", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "single machines are cut off", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			for i := range 5 {
 				fs = append(fs, one(CutNode, time.Duration(10+5*i)*sec, 4*sec, some(rng, nodeNames(s), 1)...))
 				fs = append(fs, one(CutOneWay, time.Duration(12+5*i)*sec, 3*sec, some(rng, nodeNames(s), 1)...))
 			}
 			return append(fs, one(PutStorm, 10*sec, 15*sec))
 		}},
-		{Name: "core comes back empty elsewhere", Shape: "atlas", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "core comes back empty elsewhere", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			return []Fault{one(PutStorm, 9*sec, 60*sec), one(Move, 12*sec, 2*sec, some(rng, s.Voters, 1)...), one(Move, 52*sec, 2*sec, some(rng, s.Voters, 1)...)}
 		}, Change: func(s *Scenario) { s.Lasts = 100 * sec }},
-		{Name: "voters are swapped", Shape: "atlas", Faults: fixed(
+		{Name: "voters are swapped", Faults: fixed(
 			one(PutStorm, 9*sec, 25*sec), one(SwapVoters, 12*sec, 0, "n2", "n3", "n4"), one(Kill, 12200*time.Millisecond, 2*sec, "n1", "n2"),
 			one(SwapVoters, 20*sec, 0, "n1", "n3", "n4"), one(Power, 28*sec, 3*sec, "n2"))},
-		{Name: "operators race", Shape: "tramites", Faults: fixed(one(Race, 9*sec, 20*sec)), Change: func(s *Scenario) { s.Loss, s.Dup = 0.02, 0.02 }},
-		{Name: "configurations at their size limit", Shape: "atlas", Faults: fixed(one(LargePuts, 9*sec, 8*sec), one(Power, 13*sec, 2*sec, "n2"))},
-		{Name: "all machines lose power", Shape: "tramites", Faults: fixed(one(PutStorm, 9*sec, 6*sec), one(AllDown, 14*sec, 3*sec))},
-		{Name: "last fault at day's end", Shape: "tramites", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "operators race", Faults: fixed(one(Race, 9*sec, 20*sec)), Change: func(s *Scenario) { s.Loss, s.Dup = 0.02, 0.02 }},
+		{Name: "configurations at their size limit", Faults: fixed(one(LargePuts, 9*sec, 8*sec), one(Power, 13*sec, 2*sec, "n2"))},
+		{Name: "all machines lose power", Faults: fixed(one(PutStorm, 9*sec, 6*sec), one(AllDown, 14*sec, 3*sec))},
+		{Name: "last fault at day's end", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			return []Fault{one(PutStorm, 10*sec, 20*sec), one(Wipe, 35*sec, -1, some(rng, s.Voters, 1)...)}
 		}},
-		{Name: "everything at once", Shape: "atlas", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+		{Name: "everything at once", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			fs = append(fs, one(PutStorm, 9*sec, 40*sec))
 			kinds := []string{Kill, Power, Freeze, CutNode, CutOneWay, RepCrash, RepDark, SlowDisk, StallDisk}
 			for at := 10 * sec; at < 45*sec; at += 2 * sec {
@@ -169,8 +168,7 @@
 	}
 }
 
-func (sc Scene) Scenario(seed uint64) (s Scenario) {
-	sh, _ := ShapeOf(sc.Shape)
+func (sc Scene) Scenario(sh Shape, seed uint64) (s Scenario) {
 	s = Scenario{Seed: seed, Shape: sh, Lasts: 50 * sec, Load: Load{Kinds: sh.Kinds, Rate: 60, Prefixes: 24, HotShare: 0.1}, Resend: true}
 	s.Faults = sc.Faults(sh, rand.New(rand.NewPCG(seed, 37)))
 	if sc.Change != nil {
--- a/stage/scenes_test.go
+++ b/stage/scenes_test.go
@@ -9,43 +9,49 @@
 )
 
 var (
-	seeds = flag.Int("seeds", 1, "seeds for each scene; under the race detector a few scenes stand for all")
+	seeds = flag.Int("seeds", 1, "seeds for each scene and shape; under the race detector a few scenes stand for all")
 	first = flag.Uint64("seed", 1, "first seed")
 )
 
 func TestScenes(t *testing.T) {
 	for i, sc := range Scenes() {
-		if raced && i%6 != 0 {
+		if raced && i%8 != 0 {
 			continue
 		}
 		t.Run(strings.ReplaceAll(sc.Name, " ", "-"), func(t *testing.T) {
 			t.Parallel()
 			for i := range uint64(*seeds) {
-				seed := *first + i
-				t.Run(fmt.Sprint(seed), func(t *testing.T) {
-					t.Parallel()
-					w := Run(sc.Scenario(seed))
-					for _, b := range w.Audit.Breaches {
-						t.Error(b)
-					}
-					if all := w.Report.Total(); all.Done < 100 {
-						t.Errorf("only %d requests were done", all.Done)
-					}
-					if puts(w.S.Faults) && w.Report.PutsTaken < 3 {
-						t.Errorf("only %d configurations were taken, %d denied", w.Report.PutsTaken, w.Report.PutsDenied)
-					}
-					var out strings.Builder
-					w.Report.Write(&out)
-					t.Log("\n" + out.String())
-					if t.Failed() {
-						t.Logf("go test ./stage -run '%s' -seed %d -seeds 1\n%s", t.Name(), seed, strings.Join(w.Trace[max(0, len(w.Trace)-60):], "\n"))
-					}
-				})
+				for _, sh := range []Shape{Tramites(), Atlas()} {
+					seed := *first + i
+					t.Run(fmt.Sprint(sh.Name, "/", seed), func(t *testing.T) {
+						t.Parallel()
+						rehearse(t, sc, sh, seed)
+					})
+				}
 			}
 		})
 	}
 }
 
+func rehearse(t *testing.T, sc Scene, sh Shape, seed uint64) {
+	w := Run(sc.Scenario(sh, seed))
+	for _, b := range w.Audit.Breaches {
+		t.Error(b)
+	}
+	if all := w.Report.Total(); all.Done < 100 {
+		t.Errorf("only %d requests were done", all.Done)
+	}
+	if puts(w.S.Faults) && w.Report.PutsTaken < 3 {
+		t.Errorf("only %d configurations were taken, %d denied", w.Report.PutsTaken, w.Report.PutsDenied)
+	}
+	var out strings.Builder
+	w.Report.Write(&out)
+	t.Log("\n" + out.String())
+	if t.Failed() {
+		t.Logf("go test ./stage -run '%s' -seed %d -seeds 1\n%s", t.Name(), seed, strings.Join(w.Audit.Story, "\n"))
+	}
+}
+
 func puts(fs []Fault) (any bool) {
 	return slices.ContainsFunc(fs, func(f Fault) bool { return f.Kind == PutStorm || f.Kind == Race || f.Kind == LargePuts })
 }
@@ -58,7 +64,7 @@
 	sc := scenes[len(scenes)-1]
 	var runs [2]string
 	for i := range runs {
-		w := Run(sc.Scenario(7))
+		w := Run(sc.Scenario(Atlas(), 7))
 		runs[i] = fmt.Sprint(w.Ran, w.Got, w.Net.Sent)
 	}
 	if runs[0] != runs[1] {
--- a/stage/shape.go
+++ b/stage/shape.go
@@ -61,7 +61,7 @@
 	s.Charter, _ = json.Marshal(map[string]any{
 		"replaceLostVoterMs": 15000,
 		"offers": []any{map[string]any{
-			"name": offer, "model": "m1", "replicas": rs, "kinds": ks, "crossCost": cross, "cold": map[string]any{"startRoom": 1, "rampMs": 8000},
+			"name": offer, "model": Prompt, "replicas": rs, "kinds": ks, "crossCost": cross, "cold": map[string]any{"startRoom": 1, "rampMs": 8000},
 		}},
 	})
 	return s
--- a/stage/stream.go
+++ b/stage/stream.go
@@ -1,15 +1,65 @@
 package stage
 
 import (
+	"net/http"
+
 	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/hint"
 	"github.com/mallowbridge/mallowbridge/tally"
 )
 
 const pieceBytes = 120
 
+func (c *conn) travel() {
+	w, r, f := c.f.w, c.rep, c.f
+	c.sent = true
+	if f.n.Domain != r.Domain {
+		w.Report.StreamCross += uint64(300 + 4*f.ask.TailTokens)
+	}
+	w.after(w.Net.delay(f.n.Domain == r.Domain), func() {
+		if !r.Up {
+			if c.open {
+				c.happened(mallowbridge.Lost{Go: c.place.Go})
+			}
+			return
+		}
+		if c.cutOff() {
+			return
+		}
+		parts, _ := hint.Parse(Prompt, f.ask.Prefix)
+		plan, ok := r.m.Admit(w.now, c.place.Go, parts, f.ask.TailTokens)
+		if !ok {
+			r.note("refused", f.ask.Request, c.place.Go, 0)
+			c.back(func() {
+				c.happened(mallowbridge.Replied{Go: c.place.Go, Attempt: c.place.Go, Status: http.StatusTooManyRequests})
+			})
+			return
+		}
+		r.note("begun", f.ask.Request, c.place.Go, 0)
+		w.Audit.begun(r)
+		r.conns[c.place.Go] = c
+		c.plan = plan
+		inst := r.m.Instance
+		w.after(plan.First, func() { c.emit(inst) })
+	})
+}
+
+func (c *conn) back(do func()) {
+	w := c.f.w
+	if c.rep.Dark || c.cutOff() {
+		return
+	}
+	c.due = max(c.due, w.now+w.Net.delay(c.f.n.Domain == c.rep.Domain))
+	w.at(c.due, func() {
+		if c.open {
+			do()
+		}
+	})
+}
+
 func (c *conn) emit(inst string) {
 	r, w, f := c.rep, c.f.w, c.f
-	if r.conns[c.id] != c || !r.Up || r.m.Instance != inst {
+	if r.conns[c.place.Go] != c || !r.Up || r.m.Instance != inst {
 		return
 	}
 	i := c.piece
@@ -17,51 +67,29 @@
 	if f.n.Domain != r.Domain {
 		w.Report.StreamCross += pieceBytes
 	}
-	c.back(func() { c.arrive(inst, i) })
+	if i == 0 {
+		c.back(func() { c.happened(mallowbridge.Replied{Go: c.place.Go, Attempt: c.place.Go, Status: http.StatusOK}) })
+	}
+	l := mallowbridge.Line{Go: c.place.Go, InstanceID: inst, Piece: &i, Text: tally.Piece(f.ask.Request, c.place.Go, i)}
+	if r.twist(&l) {
+		c.line(l)
+	}
 	if c.piece < c.plan.Pieces {
 		w.after(c.plan.Every, func() { c.emit(inst) })
 		return
 	}
-	r.note("done", f.ask.Request, c.id, c.piece)
-	r.m.Release(w.now, c.id)
-	delete(r.conns, c.id)
-	c.back(func() { c.finish() })
-}
-
-func (c *conn) arrive(inst string, i int) {
-	f := c.f
-	f.n.live(func() {
-		if f.conn != c || f.over {
-			return
-		}
-		if i == 0 {
-			f.tell(c, mallowbridge.Head{Request: f.ask.Request, Go: c.id, InstanceID: inst})
-			if f.conn != c {
-				return
-			}
-			f.tell(c, mallowbridge.Piece{Request: f.ask.Request, Go: c.id})
-			f.began = true
-			f.got.FirstMs = max((f.w.now - f.at).Milliseconds(), 1)
-		}
-		if i != len(f.got.Pieces) {
-			f.fail(c, mallowbridge.Broken)
-			return
-		}
-		f.got.Pieces = append(f.got.Pieces, tally.Piece(f.ask.Request, c.id, i))
-	})
+	r.note("done", f.ask.Request, c.place.Go, c.piece)
+	r.m.Release(w.now, c.place.Go)
+	delete(r.conns, c.place.Go)
+	c.line(mallowbridge.Line{Go: c.place.Go, InstanceID: inst, End: true, Pieces: c.piece})
 }
 
-func (c *conn) finish() {
-	f := c.f
-	f.n.live(func() {
-		if f.conn != c || f.over {
-			return
-		}
-		how := mallowbridge.Whole
-		if len(f.got.Pieces) != c.plan.Pieces {
-			how = mallowbridge.Broken
+func (c *conn) line(l mallowbridge.Line) {
+	c.back(func() {
+		if l.Piece != nil && *l.Piece == 0 {
+			c.f.w.Audit.proved(c, l.InstanceID)
 		}
-		f.fail(c, how)
+		c.happened(mallowbridge.Read{Go: c.place.Go, Line: l})
 	})
 }
 
@@ -71,7 +99,7 @@
 	}
 	c.f.w.after(c.f.w.Net.delay(true), func() {
 		if c.open {
-			c.f.fail(c, mallowbridge.Broken)
+			c.happened(mallowbridge.Lost{Go: c.place.Go})
 		}
 	})
 }
--- a/stage/world.go
+++ b/stage/world.go
@@ -36,6 +36,8 @@
 	byAddr  map[string]*Node
 	Reps    []*Rep
 	byRep   map[string]*Rep
+	byURL   map[string]*Rep
+	whim    *rand.Rand
 	Ran     []tally.Ran
 	Got     []tally.Got
 	Audit   *Audit
@@ -48,7 +50,10 @@
 	lives   uint64
 }
 
-const traceLines = 800
+const (
+	traceLines = 800
+	Prompt     = "m1"
+)
 
 var Verbose bool
 
@@ -64,6 +69,7 @@
 	}
 	w = &World{
 		S: s, rng: rand.New(rand.NewPCG(s.Seed, 31)), Net: newNet(s.Seed), byAddr: map[string]*Node{}, byRep: map[string]*Rep{},
+		byURL: map[string]*Rep{}, whim: rand.New(rand.NewPCG(s.Seed, 47)),
 		answers: map[uint64]func(a crux.Answer){}, ready: map[string][]*Node{},
 	}
 	w.Net.Loss, w.Net.Dup = s.Loss, s.Dup
@@ -141,9 +147,11 @@
 func (w *World) Put(n *Node, expect uint64, body []byte, done func(a crux.Answer)) {
 	w.asks++
 	op := crux.Put{ID: fmt.Sprintf("put-%d", w.asks), Expect: expect, Body: body}
+	c := w.Audit.offered(expect, body)
 	w.Call(n, op, func(a crux.Answer) {
+		c.answered(a)
 		if a.Err == nil {
-			w.Audit.accepted(a.Value)
+			w.Audit.accepted(n, a.Value)
 		}
 		done(a)
 	})
@@ -153,8 +161,8 @@
 	w.asks++
 	w.Call(n, crux.Empty{ID: fmt.Sprintf("empty-%d", w.asks), Domain: domain, Restore: restore}, func(a crux.Answer) {
 		if a.Err == nil {
-			w.Audit.accepted(a.Value)
-			w.Audit.emptied(domain, !restore)
+			w.Audit.accepted(n, a.Value)
+			w.Audit.emptied(n, domain, !restore)
 		}
 		done(a)
 	})
--- a/stand/agent.go
+++ b/stand/agent.go
@@ -38,6 +38,9 @@
 		return g
 	}
 	defer resp.Body.Close()
+	if front := resp.Header.Get("X-Node"); front != "" {
+		g.Node = front
+	}
 	if resp.StatusCode != http.StatusOK {
 		g.Outcome = resp.Header.Get("X-Outcome")
 		if g.Outcome == "" {
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -1,8 +1,11 @@
 package tally
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"maps"
+	"math"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -51,10 +54,27 @@
 }
 
 type runs struct {
-	begun []string
+	begun []Ran
 	done  map[string]int
 }
 
+func (x *runs) ids() (ids []string) {
+	for _, r := range x.begun {
+		ids = append(ids, r.Go)
+	}
+	return ids
+}
+
+// by picks the gos of one boot of a node; go ids begin with both.
+func (x *runs) by(node string, from, until int64) (ids []string) {
+	for _, r := range x.begun {
+		if node != "" && strings.HasPrefix(r.Go, node+".") && r.AtMs >= from && r.AtMs < until {
+			ids = append(ids, r.Go)
+		}
+	}
+	return ids
+}
+
 func Check(ran []Ran, got []Got) (breaches []Breach) {
 	byReq := map[string]*runs{}
 	for _, r := range ran {
@@ -65,7 +85,7 @@
 		}
 		switch r.Event {
 		case "begun":
-			x.begun = append(x.begun, r.Go)
+			x.begun = append(x.begun, r)
 		case "done":
 			x.done[r.Go] = r.Pieces
 		}
@@ -74,16 +94,12 @@
 	for _, g := range got {
 		asked[g.Request] = append(asked[g.Request], g)
 	}
-	var names []string
-	for name := range asked {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(asked)) {
 		x := byReq[name]
 		if x == nil {
 			x = &runs{done: map[string]int{}}
 		}
+		slices.SortStableFunc(asked[name], func(a, b Got) int { return cmp.Compare(a.AtMs, b.AtMs) })
 		breaches = append(breaches, fates(name, x, asked[name])...)
 		for _, g := range asked[name] {
 			if b, bad := strand(g, x); bad {
@@ -94,18 +110,35 @@
 	return breaches
 }
 
+func notRun(g Got) (yes bool) { return g.Outcome == "denied" || g.Outcome == "bad" }
+
+// A denial speaks for one sending at one node: no go of that node may follow it before the next sending, and where the
+// request may not be repeated none may have gone before.
 func fates(name string, x *runs, gots []Got) (bs []Breach) {
-	open := 0
-	for _, g := range gots {
-		if g.Outcome != "denied" && g.Outcome != "repeat" && g.Outcome != "bad" {
-			open++
-		}
-	}
 	if !gots[0].Repeatable && len(x.begun) > 1 {
-		bs = append(bs, Breach{What: RanTwice, Request: name, Detail: strings.Join(x.begun, " ")})
+		bs = append(bs, Breach{What: RanTwice, Request: name, Detail: strings.Join(x.ids(), " ")})
 	}
-	if open == 0 && len(x.begun) > 0 {
-		bs = append(bs, Breach{What: DeniedRan, Request: name, Detail: strings.Join(x.begun, " ")})
+	open := slices.ContainsFunc(gots, func(g Got) bool { return !notRun(g) && g.Outcome != "repeat" })
+	if !open && len(x.begun) > 0 {
+		return append(bs, Breach{What: DeniedRan, Request: name, Detail: strings.Join(x.ids(), " ")})
+	}
+	for i, g := range gots {
+		if !notRun(g) {
+			continue
+		}
+		from, until := g.AtMs, int64(math.MaxInt64)
+		if !g.Repeatable {
+			from = math.MinInt64
+		}
+		for _, next := range gots[i+1:] {
+			if next.Node == g.Node {
+				until = next.AtMs
+				break
+			}
+		}
+		if ids := x.by(g.Node, from, until); len(ids) > 0 {
+			bs = append(bs, Breach{What: DeniedRan, Request: name, Detail: "by " + g.Node + ": " + strings.Join(ids, " ")})
+		}
 	}
 	return bs
 }
@@ -130,19 +163,10 @@
 	}
 	n, ok := x.done[goID]
 	switch {
-	case !ok && len(g.Pieces) > 0 && has(x.begun, goID), ok && n != len(g.Pieces):
+	case !ok && len(g.Pieces) > 0 && slices.Contains(x.ids(), goID), ok && n != len(g.Pieces):
 		return Breach{What: Truncated, Request: g.Request, Detail: fmt.Sprintf("%d pieces of %d", len(g.Pieces), n)}, true
 	case !ok:
 		return Breach{What: Unrun, Request: g.Request, Detail: "go " + strconv.Quote(goID)}, true
 	}
 	return b, false
 }
-
-func has(list []string, s string) (yes bool) {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
