Take boots from randomness; order the platform's words without a clock

Cause: incarnation, boot and with it go ids and ballots came from the wall clock. The platform's lists were ordered by the clock of the node that took them, so a node that is behind could not tell of a leaving replica. Now boot ids are random, the clock is a hint only (who comes with less hears of itself and goes above), and a listing's mark goes above the one before it. Ruled out: repeating each list as news (18 items a second). Now going wins for a second.

--- a/crux/command.go
+++ b/crux/command.go
@@ -9,7 +9,6 @@
 	"github.com/mallowbridge/mallowbridge/charter"
 	"github.com/mallowbridge/mallowbridge/kin"
 	"github.com/mallowbridge/mallowbridge/pact"
-	"github.com/mallowbridge/mallowbridge/rumor"
 )
 
 const within = 4 * time.Second
@@ -113,7 +112,7 @@
 		n.answer(id, err)
 		return
 	}
-	fleet := fmt.Sprintf("%s.%s.%s", n.cfg.Name, strconv.FormatUint(n.cfg.Inc, 36), strconv.FormatUint(n.cfg.Seed, 36))
+	fleet := fmt.Sprintf("%s.%s.%s", n.cfg.Name, n.cfg.Boot, strconv.FormatUint(n.cfg.Seed, 36))
 	n.opSeq++
 	n.waiting[n.opSeq] = n.replyTo(id, "")
 	n.prop.Found(now, now+within, n.opSeq, &pact.Value{Fleet: fleet, Voters: vs})
@@ -162,21 +161,6 @@
 	return cur, nil
 }
 
-func (n *Node) listed(now time.Duration, op Listed) {
-	for _, l := range op.Rows {
-		it := rumor.Item{Key: "p/" + l.Replica, Mark: rumor.Mark{Hi: op.At, Lo: n.cfg.Seed}, Data: l}
-		old, ok := n.Rumor.Get(it.Key)
-		if ok {
-			if was, same := old.Data.(Listing); same && was == l {
-				continue
-			}
-		}
-		if n.Rumor.Put(it) {
-			n.take(now, it)
-		}
-	}
-}
-
 func (n *Node) depart(now time.Duration) {
 	if n.left {
 		return
--- a/crux/join.go
+++ b/crux/join.go
@@ -14,6 +14,12 @@
 	neighbours = 1500 * time.Millisecond
 )
 
+// Inc is where a node's incarnations start. The clock only saves asking: a node that was set back, or drew a lower number
+// than it had, hears of itself and goes above.
+func Inc(now time.Time, chance uint64) (inc uint64) {
+	return uint64(now.UnixMilli())<<16 | chance&0xffff
+}
+
 func (n *Node) join(now time.Duration) {
 	if n.joined {
 		if n.Kin.Alone(now) && now-n.asked >= askEvery {
--- a/crux/news.go
+++ b/crux/news.go
@@ -43,7 +43,7 @@
 	case Usages:
 		n.onUsages(now, it.Mark, d)
 	case Listing:
-		n.event(mallowbridge.Listing{Replica: d.Replica, State: d.State})
+		n.onListing(now, it.Mark, d)
 	}
 }
 
--- a/crux/node.go
+++ b/crux/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/charter"
@@ -16,6 +15,7 @@
 type Config struct {
 	Name, Addr, HTTP, Domain string
 	Seeds                    []string
+	Boot                     string
 	Inc                      uint64
 	Seed                     uint64
 	Disk                     *Kept
@@ -67,16 +67,17 @@
 
 	duties  duties
 	sights  map[string]*sight
+	told    map[string]told
 	witness witness
 }
 
 func New(now time.Duration, cfg Config) (n *Node) {
 	self := kin.Member{Name: cfg.Name, Addr: cfg.Addr, HTTP: cfg.HTTP, Domain: cfg.Domain, Inc: cfg.Inc, Build: wire.Build}
-	by := cfg.Name + "/" + strconv.FormatUint(cfg.Inc, 36)
+	by := cfg.Name + "/" + cfg.Boot
 	n = &Node{
 		cfg: cfg, prop: pact.NewProposer(by, cfg.Seed), hold: term.NewHolder(by, cfg.Seed), Rumor: rumor.New(cfg.Rumor, cfg.Seed),
 		waiting: map[uint64]ending{}, met: map[string]bool{}, since: now, asked: -time.Hour, fedAt: -time.Hour,
-		duties: newDuties(), witness: newWitness(), sights: map[string]*sight{},
+		duties: newDuties(), witness: newWitness(), sights: map[string]*sight{}, told: map[string]told{},
 	}
 	if cfg.Disk != nil {
 		self.Disk = cfg.Disk.Pact.Disk
--- a/hearth/hearth.go
+++ b/hearth/hearth.go
@@ -65,14 +65,14 @@
 }
 
 func Start(t *tomb.Tomb, s Settings, lg *log.Logger) (h *Hearth, err error) {
-	inc := uint64(time.Now().UnixMilli())
+	boot := strconv.FormatUint(seed(), 36)
 	h = &Hearth{
 		S: s, T: t, Log: lg, in: make(chan crux.In, 1024), calls: make(chan call, 64), writes: make(chan []crux.Write, 1024),
-		joins: make(chan *follower), leaves: make(chan *follower), pics: make(chan *charter.Picture, 1), boot: strconv.FormatUint(inc, 36),
+		joins: make(chan *follower), leaves: make(chan *follower), pics: make(chan *charter.Picture, 1), boot: boot,
 	}
 	h.Front = s.Name + "." + h.boot
 	cfg := crux.Config{
-		Name: s.Name, Addr: s.Listen, HTTP: s.HTTP, Domain: s.Domain, Seeds: s.Seeds, Inc: inc, Seed: seed(),
+		Name: s.Name, Addr: s.Listen, HTTP: s.HTTP, Domain: s.Domain, Seeds: s.Seeds, Boot: boot, Inc: crux.Inc(time.Now(), seed()), Seed: seed(),
 		Kin: kin.Defaults(), Rumor: rumor.Defaults(),
 	}
 	if s.Data != "" {
--- a/stage/faults.go
+++ b/stage/faults.go
@@ -111,7 +111,7 @@
 	for _, n := range ns {
 		n.kill()
 		if f.Kind == ClockBack {
-			n.wall -= time.Hour
+			n.wall = -w.now - f.For
 		}
 		if n.Disk != nil && f.Kind != Kill {
 			n.Disk.PowerCut()
--- a/stage/mixed.go
+++ b/stage/mixed.go
@@ -52,8 +52,9 @@
 				one(Release, 14*sec, 0, some(rng, repNames(), 2)...)}
 		}},
 		{Name: "clocks are set back", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
-			for i := range 6 {
-				fs = append(fs, one(ClockBack, time.Duration(9+4*i)*sec, 1200*time.Millisecond, some(rng, nodeNames(s), 2)...))
+			back := some(rng, nodeNames(s), 4)
+			for i := range 7 {
+				fs = append(fs, one(ClockBack, time.Duration(9+4*i)*sec, 1200*time.Millisecond, back[i%2*2:i%2*2+2]...))
 			}
 			return append(fs, one(PutStorm, 9*sec, 25*sec), one(Lists, 9*sec, 20*sec))
 		}},
--- a/stage/node.go
+++ b/stage/node.go
@@ -70,9 +70,9 @@
 	w.lives++
 	n.eyes = map[string]bool{}
 	n.life, n.Alive, n.frozen, n.inbox, n.saving, n.unsent, n.keeper = w.lives, true, false, nil, false, nil, nil
-	inc := n.unixMs()
+	boot := strconv.FormatUint(w.whim.Uint64(), 36)
 	cfg := crux.Config{
-		Name: n.Name, Addr: n.Addr, Domain: n.Domain, Seeds: n.seeds(), Inc: inc, Seed: w.S.Seed<<16 + n.life,
+		Name: n.Name, Addr: n.Addr, Domain: n.Domain, Seeds: n.seeds(), Boot: boot, Inc: crux.Inc(time.UnixMilli(int64(n.unixMs())), w.whim.Uint64()), Seed: w.S.Seed<<16 + n.life,
 		Kin: kin.Defaults(), Rumor: rumor.Defaults(),
 	}
 	if n.Disk != nil {
@@ -88,7 +88,6 @@
 		cfg.Disk = &kept
 	}
 	n.node = crux.New(n.local(), cfg)
-	boot := strconv.FormatUint(inc, 36)
 	n.front = n.Name + "." + boot
 	rc := mallowbridge.Defaults(n.Name, boot, n.Domain)
 	rc.Market.RoundRobin = w.S.RoundRob
--- a/stage/orders.go
+++ b/stage/orders.go
@@ -67,11 +67,13 @@
 func (w *World) lists(end time.Duration, states map[string]string) {
 	if w.now >= end {
 		for _, name := range sortedKeys(states) {
-			w.list(name, "present")
+			states[name] = "present"
 		}
+	}
+	if w.now >= end+4*time.Second {
 		return
 	}
-	if at := w.Reps[w.whim.IntN(len(w.Reps))].Name; w.whim.IntN(3) == 0 {
+	if at := w.Reps[w.whim.IntN(len(w.Reps))].Name; w.now < end && w.whim.IntN(3) == 0 {
 		states[at] = []string{"leaving", "gone", "present", "leaving"}[w.whim.IntN(4)]
 	}
 	states["nobody"] = "present"
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -47,6 +47,7 @@
 	Gap       = "piece lost or repeated"
 	Truncated = "partial that looks complete"
 	Unrun     = "done without a run"
+	Reused    = "one id for two gos"
 )
 
 func Piece(request, goID string, i int) (text string) {
@@ -76,8 +77,14 @@
 }
 
 func Check(ran []Ran, got []Got) (breaches []Breach) {
-	byReq := map[string]*runs{}
+	byReq, gos := map[string]*runs{}, map[string]string{}
 	for _, r := range ran {
+		if r.Event == "begun" {
+			if other, twice := gos[r.Go]; twice {
+				breaches = append(breaches, Breach{What: Reused, Request: r.Request, Detail: r.Go + ", before for " + other})
+			}
+			gos[r.Go] = r.Request
+		}
 		x := byReq[r.Request]
 		if x == nil {
 			x = &runs{done: map[string]int{}}
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -29,6 +29,7 @@
 		{"may be repeated: run here, then denied here", []Ran{at(5, ran("begun", "a", "n1.b.1", 0))},
 			[]Got{{AtMs: 1, Request: "a", Repeatable: true, Node: "n1.b", Outcome: "lost"}, {AtMs: 10, Request: "a", Repeatable: true, Node: "n1.b", Outcome: "denied"}}, ""},
 		{"denied and ran", whole, []Got{{Request: "a", Outcome: "denied"}}, DeniedRan},
+		{"an id given twice", append(whole, ran("begun", "b", "g1", 0)), []Got{done("a", "a|g1|0", "a|g1|1")}, Reused},
 		{"mixed", whole, []Got{done("a", "b|g1|0", "a|g1|1")}, Mixed},
 		{"spliced", whole, []Got{done("a", "a|g1|0", "a|g2|1")}, Spliced},
 		{"lost", whole, []Got{done("a", "a|g1|1")}, Gap},
