--- a/crux/register.go
+++ b/crux/register.go
@@ -22,7 +22,7 @@
 
 const (
 	stalledAfter = time.Second
-	maxHeld      = 256
+	MaxHeld      = 256
 )
 
 func (n *Node) vote(now time.Duration, r Recv) {
@@ -39,7 +39,7 @@
 		}
 		return
 	}
-	if n.voter == nil || n.broken != nil || len(n.held) >= maxHeld {
+	if n.voter == nil || n.broken != nil || len(n.held) >= MaxHeld {
 		return
 	}
 	switch m := r.Msg.(type) {
--- a/gate/chain.go
+++ b/gate/chain.go
@@ -72,6 +72,7 @@
 func (g *Gate) chain(fs ...Filter) (h bunrouter.HandlerFunc) {
 	return func(w http.ResponseWriter, r bunrouter.Request) (err error) {
 		x := &Exchange{w: w, r: r, release: func() {}}
+		_ = http.NewResponseController(w).EnableFullDuplex()
 		defer func() { x.release() }()
 		g.N.Requests.Add(1)
 		for _, f := range fs {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -238,3 +240,46 @@
 		t.Errorf("a draining gate gave %d", got)
 	}
 }
+
+func TestBodiesWaitForRoom(t *testing.T) {
+	r := newRig(t, true)
+	post := func(id string, body io.Reader) (status int) {
+		req, err := http.NewRequest(http.MethodPost, r.srv.URL+"/v1/offers/o/again", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Request-Id", id)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Error(err)
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	var slow [2]*io.PipeWriter
+	done := make(chan int)
+	for i := range slow {
+		body, w := io.Pipe()
+		slow[i] = w
+		go func() { done <- post(fmt.Sprintf("slow-%d", i), body) }()
+		if _, err := w.Write([]byte(`"`)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for r.gate.Running() < len(slow) {
+		runtime.Gosched()
+	}
+	body, w := io.Pipe()
+	defer w.Close()
+	if got := post("third", body); got != http.StatusServiceUnavailable {
+		t.Errorf("a third body was read beyond the room of two: %d", got)
+	}
+	for i := range slow {
+		_, _ = slow[i].Write([]byte(`"`))
+		slow[i].Close()
+		if got := <-done; got != http.StatusOK {
+			t.Errorf("a slow body ended as %d", got)
+		}
+	}
+}
--- a/hearth/follow.go
+++ b/hearth/follow.go
@@ -13,9 +13,11 @@
 const followQueue = 1024
 
 type follower struct {
-	id int
-	q  chan any
-	n  uint64
+	id    int
+	first []any
+	q     chan any
+	n     uint64
+	ready chan struct{}
 }
 
 type followers struct {
@@ -30,16 +32,10 @@
 
 func (fs *followers) tell(ev mallowbridge.Event) {
 	switch e := ev.(type) {
-	case mallowbridge.Order:
-		fs.last["0"] = e
-	case mallowbridge.Routers:
-		fs.last["1"] = e
-	case mallowbridge.Usage:
-		fs.last["2"+e.Replica] = e
-	case mallowbridge.Listing:
-		fs.last["3"+e.Replica] = e
-	case mallowbridge.Feed:
-		fs.last["4"] = e
+	case mallowbridge.Doubt:
+		delete(fs.last, keyOf(mallowbridge.Usage{Replica: e.Replica}))
+	default:
+		fs.last[keyOf(ev)] = ev
 	}
 	for _, f := range fs.all {
 		f.send(ev)
@@ -61,10 +57,12 @@
 	}
 	for f.id = 1; taken[f.id]; f.id++ {
 	}
-	f.q <- mallowbridge.Welcome{Self: fs.h.S.Name + "#" + strconv.Itoa(f.id), Domain: fs.h.S.Domain, Boot: fs.h.boot}
+	f.first = append(f.first, mallowbridge.Welcome{Self: fs.h.S.Name + "#" + strconv.Itoa(f.id), Domain: fs.h.S.Domain, Boot: fs.h.boot})
 	for _, key := range sorted(fs.last) {
-		f.send(fs.last[key])
+		f.first = append(f.first, mallowbridge.Numbered{N: f.n, Event: fs.last[key]})
+		f.n++
 	}
+	close(f.ready)
 	fs.all = append(fs.all, f)
 	return fs.count()
 }
@@ -88,7 +86,7 @@
 }
 
 func (h *Hearth) follow(conn net.Conn, _ wire.Hello, r *wire.Reader) {
-	f := &follower{q: make(chan any, followQueue)}
+	f := &follower{q: make(chan any, followQueue), ready: make(chan struct{})}
 	select {
 	case h.joins <- f:
 	case <-h.T.Dying():
@@ -109,6 +107,16 @@
 }
 
 func (h *Hearth) pump(conn net.Conn, w *wire.Writer, f *follower, gone chan struct{}) {
+	select {
+	case <-f.ready:
+	case <-h.T.Dying():
+		return
+	}
+	for _, msg := range f.first {
+		if !h.put(conn, w, msg) {
+			return
+		}
+	}
 	for {
 		select {
 		case <-h.T.Dying():
@@ -116,15 +124,20 @@
 		case <-gone:
 			return
 		case msg := <-f.q:
-			frame, err := w.Frame(msg)
-			if err != nil {
-				h.fault("follower", err)
-				return
-			}
-			_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
-			if _, err = conn.Write(frame); err != nil {
+			if !h.put(conn, w, msg) {
 				return
 			}
 		}
 	}
 }
+
+func (h *Hearth) put(conn net.Conn, w *wire.Writer, msg any) (ok bool) {
+	frame, err := w.Frame(msg)
+	if err != nil {
+		h.fault("follower", err)
+		return false
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(2 * time.Second))
+	_, err = conn.Write(frame)
+	return err == nil
+}
--- a/hearth/hearth.go
+++ b/hearth/hearth.go
@@ -36,6 +36,7 @@
 	joins  chan *follower
 	leaves chan *follower
 	pics   chan *charter.Picture
+	valve  *valve
 	node   *crux.Node
 	keeper *crux.Keeper
 	boot   string
@@ -67,7 +68,7 @@
 func Start(t *tomb.Tomb, s Settings, lg *log.Logger) (h *Hearth, err error) {
 	boot := strconv.FormatUint(seed(), 36)
 	h = &Hearth{
-		S: s, T: t, Log: lg, in: make(chan crux.In, 1024), calls: make(chan call, 64), writes: make(chan []crux.Write, 1024),
+		S: s, T: t, Log: lg, in: make(chan crux.In, 1024), calls: make(chan call, 64), writes: make(chan []crux.Write, crux.MaxHeld),
 		joins: make(chan *follower), leaves: make(chan *follower), pics: make(chan *charter.Picture, 1), boot: boot,
 	}
 	h.Front = s.Name + "." + h.boot
@@ -92,6 +93,7 @@
 	rc := mallowbridge.Defaults(s.Name, h.boot, s.Domain)
 	rc.Market.Backlog = s.Backlog
 	h.Desk = mallowbridge.NewDesk(t, mallowbridge.New(rc), Clock, deskTicks)
+	h.valve = newValve(t, h.Desk.Tell)
 	h.node = crux.New(Clock(), cfg)
 	self := wire.Hello{Build: wire.Build, Name: s.Name, Addr: s.Listen, Role: s.Role}
 	if h.Net, err = wire.Listen(t, self, h.follow, h.fault); err != nil {
@@ -158,7 +160,7 @@
 		h.Net.Send(s.To, s.Msg)
 	}
 	for _, ev := range out.Events {
-		h.Desk.Tell(ev)
+		h.tell(ev)
 		fs.tell(ev)
 		if o, ok := ev.(mallowbridge.Order); ok {
 			h.picture(o.Picture)
@@ -175,6 +177,13 @@
 	}
 }
 
+func (h *Hearth) tell(ev mallowbridge.Event) {
+	select {
+	case h.valve.in <- ev:
+	case <-h.T.Dying():
+	}
+}
+
 // picture leaves the newest for the watchers and never waits for them.
 func (h *Hearth) picture(p *charter.Picture) {
 	select {
--- /dev/null
+++ b/hearth/valve.go
@@ -0,0 +1,83 @@
+package hearth
+
+import (
+	"gopkg.in/tomb.v2"
+
+	"github.com/mallowbridge/mallowbridge"
+)
+
+// A valve takes what the control owner tells the market and never makes it wait: what a later word replaces is dropped.
+type valve struct {
+	in  chan mallowbridge.Event
+	out chan mallowbridge.Event
+}
+
+type queued struct {
+	key string
+	ev  mallowbridge.Event
+}
+
+func newValve(t *tomb.Tomb, to func(ev mallowbridge.Event)) (v *valve) {
+	v = &valve{in: make(chan mallowbridge.Event), out: make(chan mallowbridge.Event)}
+	t.Go(func() error { return v.run(t) })
+	t.Go(func() error {
+		for {
+			select {
+			case <-t.Dying():
+				return nil
+			case ev := <-v.out:
+				to(ev)
+			}
+		}
+	})
+	return v
+}
+
+func (v *valve) run(t *tomb.Tomb) (err error) {
+	var q []queued
+	for {
+		var out chan mallowbridge.Event
+		var first mallowbridge.Event
+		if len(q) > 0 {
+			out, first = v.out, q[0].ev
+		}
+		select {
+		case <-t.Dying():
+			return nil
+		case ev := <-v.in:
+			q = put(q, ev)
+		case out <- first:
+			q = q[1:]
+		}
+	}
+}
+
+func put(q []queued, ev mallowbridge.Event) (longer []queued) {
+	key := keyOf(ev)
+	for i := range q {
+		if q[i].key == key {
+			q = append(q[:i:i], q[i+1:]...)
+			break
+		}
+	}
+	return append(q, queued{key: key, ev: ev})
+}
+
+// keyOf names what a later event of the same key makes void; its order is the order for a newcomer.
+func keyOf(ev mallowbridge.Event) (key string) {
+	switch e := ev.(type) {
+	case mallowbridge.Order:
+		return "0"
+	case mallowbridge.Routers:
+		return "1"
+	case mallowbridge.Usage:
+		return "2" + e.Replica
+	case mallowbridge.Listing:
+		return "3" + e.Replica
+	case mallowbridge.Feed:
+		return "4"
+	case mallowbridge.Doubt:
+		return "5" + e.Replica
+	}
+	return ""
+}
--- /dev/null
+++ b/hearth/valve_test.go
@@ -0,0 +1,81 @@
+package hearth
+
+import (
+	"fmt"
+	"testing"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/pact"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+func TestABusyMarketNeverStopsControl(t *testing.T) {
+	tb, busy, took := &tomb.Tomb{}, make(chan struct{}), make(chan mallowbridge.Event, 4096)
+	v := newValve(tb, func(ev mallowbridge.Event) {
+		<-busy
+		took <- ev
+	})
+	for i := range 20000 {
+		v.in <- mallowbridge.Usage{Replica: fmt.Sprint(i % 50), Running: i}
+		v.in <- mallowbridge.Doubt{Replica: "7"}
+	}
+	close(busy)
+	last := map[string]int{}
+	n := 0
+	for last["49"] != 19999 {
+		n++
+		if u, ok := (<-took).(mallowbridge.Usage); ok {
+			last[u.Replica] = u.Running
+		}
+	}
+	if n > 53 || len(last) != 50 || last["0"] != 19950 {
+		t.Errorf("%d events for %d replicas, replica 0 has %d", n, len(last), last["0"])
+	}
+	tb.Kill(nil)
+	if err := tb.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestAFollowerOfManyReplicasStartsWhole(t *testing.T) {
+	fs := newFollowers(&Hearth{})
+	for i := range 3000 {
+		fs.tell(mallowbridge.Usage{Replica: fmt.Sprint(i)})
+	}
+	f := &follower{q: make(chan any, followQueue), ready: make(chan struct{})}
+	fs.join(f, nil)
+	fs.tell(mallowbridge.Feed{})
+	if last := (<-f.q).(mallowbridge.Numbered); len(f.first) != 3001 || last.N != 3000 {
+		t.Errorf("%d at the start, then number %d", len(f.first), last.N)
+	}
+}
+
+func TestAStalledDiskHoldsBackNoMoreThanIsWaitedFor(t *testing.T) {
+	n := crux.New(0, crux.Config{
+		Name: "n1", Addr: "a", Boot: "b", Domain: "d", Disk: &crux.Kept{Pact: pact.State{Disk: "x"}}, Kin: kin.Defaults(), Rumor: rumor.Defaults(),
+	})
+	writes := make(chan []crux.Write, crux.MaxHeld)
+	for i := range uint64(4 * crux.MaxHeld) {
+		out := n.Step(0, crux.Recv{From: "other", Msg: pact.Prepare{Rid: i, Disk: "x", Ballot: pact.Ballot{N: i + 1}}})
+		for _, s := range out.Sends {
+			if p, ok := s.Msg.(pact.Promise); ok {
+				t.Fatalf("a promise left before its sync: %v", p)
+			}
+		}
+		if len(out.Writes) == 0 {
+			continue
+		}
+		select {
+		case writes <- out.Writes:
+		default:
+			t.Fatalf("write %d would stop the control owner", i)
+		}
+	}
+	if len(writes) != crux.MaxHeld {
+		t.Errorf("%d writes wait", len(writes))
+	}
+}
--- a/hint/index.go
+++ b/hint/index.go
@@ -7,6 +7,8 @@
 	Percentile                              float64
 	Window, Enough                          int
 	Step                                    float64
+	Watch                                   time.Duration
+	Few                                     uint64
 	EarlyAlert, StaleAlert                  float64
 }
 
@@ -14,7 +16,7 @@
 	return Config{
 		Start: 2 * time.Second, Floor: 200 * time.Millisecond, Cap: 2 * time.Second,
 		Slack: 350 * time.Millisecond, Overdue: 3 * time.Second, Keep: 10 * time.Minute,
-		Percentile: 0.99, Window: 512, Enough: 64, Step: 0.05, EarlyAlert: 0.02, StaleAlert: 0.05,
+		Percentile: 0.99, Window: 512, Enough: 64, Step: 0.05, Watch: 30 * time.Second, Few: 20, EarlyAlert: 0.02, StaleAlert: 0.05,
 	}
 }
 
@@ -29,6 +31,9 @@
 	ttl     ttl
 	Counters
 	Off bool
+
+	marks  [2]Counters
+	marked time.Duration
 }
 
 func New(cfg Config) (x *Index) {
@@ -161,6 +166,7 @@
 
 func (x *Index) Tick(now time.Duration) {
 	x.ttl.adjust(now)
+	x.watch(now)
 	for id, g := range x.gos {
 		if now < g.until {
 			continue
@@ -180,7 +186,19 @@
 	}
 }
 
+func (x *Index) watch(now time.Duration) {
+	if now-x.marked >= x.cfg.Watch {
+		x.marks[0], x.marks[1], x.marked = x.marks[1], x.Counters, now
+	}
+}
+
+// Alerts look at the last one to two watches, so that they rise and clear.
 func (x *Index) Alerts() (early, stale bool) {
-	n := float64(max(x.Recorded, 1))
-	return float64(x.EarlyExpiry)/n > x.cfg.EarlyAlert, float64(x.StaleExpiry)/n > x.cfg.StaleAlert
+	old := x.marks[0]
+	n := x.Recorded - old.Recorded
+	if n < x.cfg.Few {
+		return false, false
+	}
+	over := func(count uint64, level float64) bool { return float64(count) > level*float64(n) }
+	return over(x.EarlyExpiry-old.EarlyExpiry, x.cfg.EarlyAlert), over(x.StaleExpiry-old.StaleExpiry, x.cfg.StaleAlert)
 }
--- a/hint/index_test.go
+++ b/hint/index_test.go
@@ -188,3 +188,30 @@
 		t.Errorf("alerts: early %v, stale %v", early, stale)
 	}
 }
+
+func TestAlertsRiseAndClear(t *testing.T) {
+	x := fresh()
+	ps := parts(t, "a/100")
+	id, now := uint64(0), time.Duration(0)
+	serve := func(answered bool, until time.Duration) {
+		for ; now < until; now += 100 * ms {
+			id++
+			x.Commit(now, 0, id, ps)
+			if answered {
+				x.Confirm(now+50*ms, 0, id)
+			} else {
+				x.Settle(id)
+			}
+			x.Tick(now)
+		}
+	}
+	serve(true, time.Hour)
+	serve(false, time.Hour+20*time.Second)
+	if _, stale := x.Alerts(); !stale {
+		t.Error("200 gos that were never answered raise no alert after a good hour")
+	}
+	serve(true, time.Hour+100*time.Second)
+	if early, stale := x.Alerts(); early || stale {
+		t.Error("the alert does not clear")
+	}
+}
