Vouch by a quorum, tell every domain, start over when heard by nobody

Now the set does not move when a member dies, four of six are enough (two askers share at least two), one younger than its memory counts only when all have answered, and with too few the request is denied as not run while those who miss are held alive; the witnesses then forget it.

--- a/bid/course.go
+++ b/bid/course.go
@@ -15,6 +15,7 @@
 	Unreached
 	Hung
 	Withheld
+	Unvouched
 )
 
 func (m *Market) current(id int, goID uint64) (a *Ask) {
@@ -169,6 +170,9 @@
 		m.do(Act{Kind: Deny, Ask: id, Go: goID, Rep: rep, Why: "request had its one go", Repeat: true})
 		m.Asks.drop(id)
 		return
+	case Unvouched:
+		m.deny(now, id, "its witnesses did not answer", time.Second)
+		return
 	case Refused:
 		m.N.Refused++
 		r.Backoff = max(r.Backoff, now+200*time.Millisecond)
--- a/crux/join.go
+++ b/crux/join.go
@@ -22,10 +22,6 @@
 
 func (n *Node) join(now time.Duration) {
 	if n.joined {
-		if n.Kin.Alone(now) && now-n.asked >= askEvery {
-			n.asked = now
-			n.greet()
-		}
 		return
 	}
 	if now-n.asked >= askEvery {
@@ -106,10 +102,10 @@
 	switch {
 	case n.left:
 		return "draining"
-	case !n.joined:
-		return "catching up"
 	case n.Kin.Alone(now):
 		return "heard by nobody"
+	case !n.joined:
+		return "catching up"
 	case n.pic == nil:
 		return "no configuration yet"
 	case n.settled == 0 || now < n.settled:
--- a/crux/msg.go
+++ b/crux/msg.go
@@ -18,7 +18,7 @@
 		"kp": kin.Ping{}, "ka": kin.Ack{}, "kf": kin.PingFor{}, "km": kin.Member{},
 		"rn": rumor.News{}, "rs": rumor.Sum{}, "rm": rumor.Marks{}, "rw": rumor.Want{}, "rt": rumor.Tell{},
 		"cu": Usages{}, "cl": Listing{},
-		"ws": WitnessAsk{}, "wy": WitnessSay{},
+		"ws": WitnessAsk{}, "wy": WitnessSay{}, "wf": WitnessForget{},
 	} {
 		gob.RegisterName(name, v)
 	}
@@ -44,8 +44,11 @@
 type WitnessSay struct {
 	Rid   uint64
 	First bool
+	Young bool
 }
 
+type WitnessForget WitnessAsk
+
 type In interface{ in() }
 
 type Recv struct {
@@ -136,11 +139,11 @@
 }
 
 type Answer struct {
-	ID    uint64
-	Value *pact.Value
-	Mark  uint64
-	First bool
-	Err   error
+	ID      uint64
+	Value   *pact.Value
+	Mark    uint64
+	Verdict Verdict
+	Err     error
 }
 
 type Probe struct {
--- a/crux/node.go
+++ b/crux/node.go
@@ -77,7 +77,7 @@
 	n = &Node{
 		cfg: cfg, prop: pact.NewProposer(by, cfg.Seed), hold: term.NewHolder(by, cfg.Seed), Rumor: rumor.New(cfg.Rumor, cfg.Seed),
 		waiting: map[uint64]ending{}, met: map[string]bool{}, since: now, asked: -time.Hour, fedAt: -time.Hour,
-		duties: newDuties(), witness: newWitness(), sights: map[string]*sight{}, told: map[string]told{},
+		duties: newDuties(), witness: newWitness(now), sights: map[string]*sight{}, told: map[string]told{},
 	}
 	if cfg.Disk != nil {
 		self.Disk = cfg.Disk.Pact.Disk
@@ -129,7 +129,7 @@
 
 func (n *Node) tick(now time.Duration) {
 	if now-n.fedAt > n.cfg.Kin.Gap && n.fedAt > 0 && n.joined {
-		n.wake(now)
+		n.wake(now, fmt.Sprintf("%s without a tick", now-n.fedAt))
 	}
 	n.prop.Tick(now)
 	for _, s := range n.Kin.Tick(now) {
@@ -138,6 +138,9 @@
 	for _, s := range n.Rumor.Tick(now, n.peers()) {
 		n.send(s.To, s.Msg)
 	}
+	if n.Kin.Alone(now) {
+		n.wake(now, "heard by nobody")
+	}
 	n.join(now)
 	n.mind(now)
 	n.fitness(now)
@@ -146,9 +149,12 @@
 	n.feed(now)
 }
 
-func (n *Node) wake(now time.Duration) {
-	n.change("woke", fmt.Sprintf("after %s without a tick", now-n.fedAt))
-	n.joined, n.since, n.asked, n.settled = false, now, -time.Hour, 0
+// wake starts over as after a start: what this node knows may be old, and others may have taken its share of room.
+func (n *Node) wake(now time.Duration, why string) {
+	if n.joined {
+		n.change("starts over", why)
+	}
+	n.joined, n.since, n.settled = false, now, 0
 	n.met = map[string]bool{}
 }
 
@@ -188,7 +194,7 @@
 func (n *Node) peers() (ps []rumor.Peer) {
 	for _, m := range n.Kin.Table.All() {
 		if m.Name != n.cfg.Name && m.Live() {
-			ps = append(ps, rumor.Peer{Name: m.Name, Addr: m.Addr, Near: m.Domain == n.cfg.Domain})
+			ps = append(ps, rumor.Peer{Name: m.Name, Addr: m.Addr, Domain: m.Domain, Near: m.Domain == n.cfg.Domain})
 		}
 	}
 	return ps
@@ -217,6 +223,8 @@
 		n.rumorSends(n.Rumor.OnWant(r.From, m))
 	case WitnessAsk:
 		n.send(r.From, n.witness.see(now, m))
+	case WitnessForget:
+		n.witness.forget(m)
 	case WitnessSay:
 		n.witness.said(r.From, m, n)
 	default:
--- a/crux/witness.go
+++ b/crux/witness.go
@@ -7,47 +7,68 @@
 
 	"github.com/mallowbridge/mallowbridge"
 	"github.com/mallowbridge/mallowbridge/bid"
+	"github.com/mallowbridge/mallowbridge/kin"
 )
 
 const (
 	witnesses    = 6
 	perDomain    = 2
+	vouchers     = 4
 	witnessAgain = 60 * time.Millisecond
 	witnessFor   = 10 * time.Minute
 	witnessWait  = 200 * time.Millisecond
 	witnessMost  = 200000
 )
 
+type Verdict uint8
+
+const (
+	FirstAsked Verdict = iota
+	AskedBefore
+	TooFew
+)
+
 type asking struct {
 	answer uint64
 	born   time.Duration
 	sent   time.Duration
 	msg    WitnessAsk
+	all    []string
 	open   []string
+	live   int
+	need   int
+	old    int
 }
 
 type seen struct {
-	by string
-	at time.Duration
+	by  string
+	rid uint64
+	at  time.Duration
 }
 
 type witness struct {
+	born time.Duration
 	seen map[string]seen
 	line []string
 	asks map[uint64]*asking
+	dead map[string]time.Duration
+	gone map[string]bool
 	rid  uint64
 }
 
 // Vouch tells how a go ends by the witnesses' answer before it began, or nothing when it may leave.
 func Vouch(a Answer) (how mallowbridge.How) {
-	if a.Err == nil && !a.First {
+	switch {
+	case a.Err != nil || a.Verdict == TooFew:
+		return mallowbridge.Unvouched
+	case a.Verdict == AskedBefore:
 		return mallowbridge.Withheld
 	}
 	return ""
 }
 
-func newWitness() (w witness) {
-	return witness{seen: map[string]seen{}, asks: map[uint64]*asking{}}
+func newWitness(now time.Duration) (w witness) {
+	return witness{born: now, seen: map[string]seen{}, asks: map[uint64]*asking{}, dead: map[string]time.Duration{}, gone: map[string]bool{}}
 }
 
 func (w *witness) see(now time.Duration, m WitnessAsk) (say WitnessSay) {
@@ -57,15 +78,35 @@
 	}
 	s, ok := w.seen[m.Request]
 	if !ok {
-		w.seen[m.Request] = seen{by: m.By, at: now}
 		w.line = append(w.line, m.Request)
+		s = seen{by: m.By, at: now}
 	}
-	return WitnessSay{Rid: m.Rid, First: !ok || s.by == m.By}
+	if s.by == m.By {
+		s.rid = max(s.rid, m.Rid)
+		w.seen[m.Request] = s
+	}
+	return WitnessSay{Rid: m.Rid, First: s.by == m.By, Young: now-w.born < witnessFor}
+}
+
+func (w *witness) forget(m WitnessForget) {
+	s, ok := w.seen[m.Request]
+	if !ok || s.by != m.By || s.rid != m.Rid {
+		return
+	}
+	delete(w.seen, m.Request)
+	w.line = slices.DeleteFunc(w.line, func(r string) bool { return r == m.Request })
 }
 
 func (w *witness) ask(now time.Duration, n *Node, id uint64, request string) {
 	w.rid++
-	a := &asking{answer: id, born: now, msg: WitnessAsk{Rid: w.rid, Request: request, By: n.prop.By}, open: n.witnesses(request)}
+	a := &asking{answer: id, born: now, msg: WitnessAsk{Rid: w.rid, Request: request, By: n.prop.By}}
+	for _, m := range n.witnesses(request) {
+		a.all = append(a.all, m.Addr)
+		if m.Live() {
+			a.open = append(a.open, m.Addr)
+		}
+	}
+	a.live, a.need = len(a.open), min(vouchers, len(a.open))
 	w.asks[w.rid] = a
 	a.send(now, n)
 }
@@ -77,46 +118,82 @@
 	}
 }
 
-func (n *Node) witnesses(request string) (addrs []string) {
+// witnesses are the same for all routers that know the same members; the dead keep their place as long as they would have
+// remembered, so that a death does not move the others'.
+func (n *Node) witnesses(request string) (ms []kin.Member) {
 	var names []string
 	for _, m := range n.Kin.Table.All() {
-		if m.Live() {
+		if m.State != kin.Left && !n.witness.gone[m.Name] {
 			names = append(names, m.Name)
 		}
 	}
 	taken := map[string]int{}
 	for _, name := range bid.Nearest("once/"+request, names) {
 		m, _ := n.Kin.Table.Get(name)
-		if len(addrs) < witnesses && taken[m.Domain] < perDomain {
+		if len(ms) < witnesses && taken[m.Domain] < perDomain {
 			taken[m.Domain]++
-			addrs = append(addrs, m.Addr)
+			ms = append(ms, m)
 		}
 	}
-	return addrs
+	return ms
 }
 
 func (w *witness) said(from string, m WitnessSay, n *Node) {
 	a := w.asks[m.Rid]
-	if a == nil {
+	if a == nil || !slices.Contains(a.open, from) {
 		return
 	}
 	a.open = slices.DeleteFunc(a.open, func(addr string) bool { return addr == from })
-	if m.First && len(a.open) > 0 {
+	if !m.Young {
+		a.old++
+	}
+	switch {
+	case !m.First:
+		w.close(n, a, AskedBefore)
+	case a.old >= a.need || len(a.open) == 0:
+		w.close(n, a, FirstAsked)
+	}
+}
+
+func (w *witness) close(n *Node, a *asking, v Verdict) {
+	delete(w.asks, a.msg.Rid)
+	n.out.Answers = append(n.out.Answers, Answer{ID: a.answer, Verdict: v})
+	if v != TooFew {
 		return
 	}
-	delete(w.asks, m.Rid)
-	n.out.Answers = append(n.out.Answers, Answer{ID: a.answer, First: m.First})
+	for _, addr := range a.all {
+		n.send(addr, WitnessForget(a.msg))
+	}
 }
 
 func (w *witness) tick(now time.Duration, n *Node) {
+	w.bury(now, n)
 	for _, rid := range slices.Sorted(maps.Keys(w.asks)) {
 		a := w.asks[rid]
-		if now-a.born < witnessWait && now-a.sent >= witnessAgain {
+		switch {
+		case now-a.born < witnessWait && now-a.sent >= witnessAgain:
 			a.send(now, n)
+		case now-a.born < witnessWait:
+		case a.live-len(a.open) >= a.need:
+			w.close(n, a, FirstAsked)
+		default:
+			w.close(n, a, TooFew)
+		}
+	}
+}
+
+func (w *witness) bury(now time.Duration, n *Node) {
+	for _, m := range n.Kin.Table.All() {
+		if m.State != kin.Dead {
+			delete(w.dead, m.Name)
+			delete(w.gone, m.Name)
+			continue
+		}
+		if _, known := w.dead[m.Name]; !known {
+			w.dead[m.Name] = now
 		}
-		if now-a.born >= witnessWait {
-			delete(w.asks, rid)
-			n.out.Answers = append(n.out.Answers, Answer{ID: a.answer, First: true})
+		if now-w.dead[m.Name] >= witnessFor {
+			w.gone[m.Name] = true
 		}
 	}
 }
--- a/events.go
+++ b/events.go
@@ -86,6 +86,7 @@
 	Broken    How = "broken"
 	Unreached How = "unreached"
 	Withheld  How = "withheld"
+	Unvouched How = "unvouched"
 )
 
 func (Arrive) event()  {}
--- a/once.go
+++ b/once.go
@@ -1,6 +1,9 @@
 package mallowbridge
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 type once struct {
 	keep time.Duration
@@ -28,3 +31,11 @@
 		o.line = o.line[1:]
 	}
 }
+
+// drop forgets an id whose go was permitted and yet denied before it left.
+func (o *once) drop(req string) {
+	if _, ok := o.at[req]; ok {
+		delete(o.at, req)
+		o.line = slices.DeleteFunc(o.line, func(r string) bool { return r == req })
+	}
+}
--- a/router.go
+++ b/router.go
@@ -119,7 +119,7 @@
 	return r.render(now, r.m.Tick(now))
 }
 
-var ends = map[How]bid.End{Whole: bid.Whole, Refused: bid.Refused, Broken: bid.Broken, Unreached: bid.Unreached, Withheld: bid.Withheld}
+var ends = map[How]bid.End{Whole: bid.Whole, Refused: bid.Refused, Broken: bid.Broken, Unreached: bid.Unreached, Withheld: bid.Withheld, Unvouched: bid.Unvouched}
 
 func (r *Router) with(req, goName string, act func(id int, g uint64)) (ok bool) {
 	id, ok := r.asks[req]
@@ -245,7 +245,12 @@
 		switch a.Kind {
 		case bid.Send:
 			r.once.note(now, d.Request)
-		case bid.Deny, bid.Done, bid.Unknown, bid.Partial:
+		case bid.Deny:
+			if !a.Repeat {
+				r.once.drop(d.Request)
+			}
+			r.forget(a.Ask)
+		case bid.Done, bid.Unknown, bid.Partial:
 			r.forget(a.Ask)
 		}
 		out = append(out, d)
--- a/rumor/push.go
+++ b/rumor/push.go
@@ -40,11 +40,15 @@
 	return msgs
 }
 
+// push tells near nodes; what began here goes to every other domain, what a near node told goes to one far node once more.
 func (s *Store) push(peers []Peer) (sends []Send) {
-	var near, far []string
+	var near, far, each []string
 	for k, h := range s.hot {
 		near = append(near, k)
-		if h.far {
+		switch {
+		case h.far == eachDomain:
+			each = append(each, k)
+		case h.far == oneFar && h.left == s.cfg.Rounds:
 			far = append(far, k)
 		}
 		h.left--
@@ -53,9 +57,21 @@
 		}
 	}
 	sends = s.spread(s.pick(peers, true, s.cfg.Near), near)
+	sends = append(sends, s.spread(s.perDomain(peers), each)...)
 	return append(sends, s.spread(s.pick(peers, false, s.cfg.Far), far)...)
 }
 
+func (s *Store) perDomain(peers []Peer) (to []Peer) {
+	seen := map[string]bool{}
+	for _, p := range s.pick(peers, false, len(peers)) {
+		if !seen[p.Domain] {
+			seen[p.Domain] = true
+			to = append(to, p)
+		}
+	}
+	return to
+}
+
 func (s *Store) spread(to []Peer, keys []string) (sends []Send) {
 	msgs := s.pack(keys)
 	for _, p := range to {
--- a/rumor/rumor.go
+++ b/rumor/rumor.go
@@ -41,8 +41,8 @@
 type Want struct{ Keys []string }
 
 type Peer struct {
-	Name, Addr string
-	Near       bool
+	Name, Addr, Domain string
+	Near               bool
 }
 
 type Send struct {
@@ -63,9 +63,17 @@
 	return Config{Push: 100 * time.Millisecond, Near: 2, Far: 1, Rounds: 2, DigestNear: time.Second, DigestFar: 2 * time.Second}
 }
 
+type reach uint8
+
+const (
+	nearOnly reach = iota
+	oneFar
+	eachDomain
+)
+
 type hot struct {
 	left int
-	far  bool
+	far  reach
 }
 
 type Store struct {
@@ -95,9 +103,16 @@
 	return d.Sum64()
 }
 
-func (s *Store) Put(it Item) (fresh bool) { return s.Hear(it, true) }
+func (s *Store) Put(it Item) (fresh bool) { return s.hold(it, eachDomain) }
 
 func (s *Store) Hear(it Item, near bool) (fresh bool) {
+	if near {
+		return s.hold(it, oneFar)
+	}
+	return s.hold(it, nearOnly)
+}
+
+func (s *Store) hold(it Item, far reach) (fresh bool) {
 	old, ok := s.items[it.Key]
 	if ok && !old.Mark.Less(it.Mark) {
 		s.Stale++
@@ -108,7 +123,7 @@
 	}
 	s.hash ^= leaf(it.Key, it.Mark)
 	s.items[it.Key] = it
-	s.hot[it.Key] = &hot{left: s.cfg.Rounds, far: near}
+	s.hot[it.Key] = &hot{left: s.cfg.Rounds, far: far}
 	s.Fresh++
 	return true
 }
--- a/stage/audit.go
+++ b/stage/audit.go
@@ -68,7 +68,7 @@
 	firsts   []time.Duration
 	seconds  []time.Duration
 	guesses  map[guessKey]time.Duration
-	proofs   map[guessKey]string
+	proofs   map[guessKey]bool
 	Story    []string
 	Exempt   int
 	orders   map[string][]stamp
@@ -77,7 +77,7 @@
 func newAudit(w *World) (a *Audit) {
 	return &Audit{
 		w: w, emptyAt: map[string]fact{}, leftAt: map[string]fact{}, obeyed: map[string]uint64{}, bodies: map[uint64]string{},
-		guesses: map[guessKey]time.Duration{}, proofs: map[guessKey]string{}, orders: map[string][]stamp{},
+		guesses: map[guessKey]time.Duration{}, proofs: map[guessKey]bool{}, orders: map[string][]stamp{},
 	}
 }
 
--- a/stage/guesses.go
+++ b/stage/guesses.go
@@ -10,8 +10,8 @@
 const guessMost = 2 * time.Second
 
 type guessKey struct {
-	front, rep string
-	part       hint.Key
+	front, rep, instance string
+	part                 hint.Key
 }
 
 func (c *conn) keeper() (r *Rep) {
@@ -24,7 +24,7 @@
 func (c *conn) keys() (keys []guessKey, tokens []int) {
 	parts, _ := hint.Parse(Prompt, c.f.ask.Prefix)
 	for _, p := range parts {
-		keys, tokens = append(keys, guessKey{c.f.n.front, c.keeper().Name, p.Key}), append(tokens, p.Tokens)
+		keys, tokens = append(keys, guessKey{front: c.f.n.front, rep: c.keeper().Name, part: p.Key}), append(tokens, p.Tokens)
 	}
 	return keys, tokens
 }
@@ -58,8 +58,12 @@
 }
 
 func (a *Audit) proof(n *Node, r *Rep, key guessKey) (yes bool) {
-	inst := a.proofs[key]
-	return inst != "" && (inst == r.m.Instance || !a.late(n, fact{at: r.since, domain: r.Domain}, leavingWithin))
+	key.instance = r.m.Instance
+	if a.proofs[key] {
+		return true
+	}
+	key.instance = r.before
+	return a.proofs[key] && !a.late(n, fact{at: r.since, domain: r.Domain}, leavingWithin)
 }
 
 func (a *Audit) proved(c *conn, inst string) {
@@ -68,6 +72,7 @@
 	}
 	keys, _ := c.keys()
 	for _, key := range keys {
-		a.proofs[key] = inst
+		key.instance = inst
+		a.proofs[key] = true
 	}
 }
--- a/stage/rep.go
+++ b/stage/rep.go
@@ -19,6 +19,7 @@
 	Dark    bool
 	Leaving bool
 	since   time.Duration
+	before  string
 	Twists  int
 	lives   uint64
 	eyes    []func()
@@ -45,7 +46,9 @@
 func (r *Rep) addr() (a string) { return "rep/" + r.Name }
 
 func (r *Rep) start(born time.Duration) {
-	r.lives++
+	if r.lives++; r.m != nil {
+		r.before = r.m.Instance
+	}
 	r.Up, r.Leaving, r.since, r.Twists = true, false, r.w.now, 0
 	r.m = NewReplica(r.w.S.Model, fmt.Sprintf("%s.%d", r.Name, r.lives), born)
 }
