Watch lists hold until members change; passing news is told once; fleets at 4 and 16 times

Cause of the simulator's and daemon's cost at size: every tick each node ranked all members for all members (62 % of the time at four times today's Atlas); ranking hashed each name in each comparison. Now the list of whom a node pings holds until the table changes.

--- a/bid/market.go
+++ b/bid/market.go
@@ -61,6 +61,7 @@
 	DeniedEarly, DeniedLate, Unknowns, Partials, Dones  uint64
 	ConfirmedTokens, PredictedTokens, PrefixTokens      uint64
 	Rechecked, Silent, Unreached, Refused, FirstTokenOK uint64
+	Steps, Visited                                      uint64
 }
 
 type Market struct {
@@ -152,6 +153,8 @@
 }
 
 func (m *Market) Tick(now time.Duration) (acts []Act) {
+	m.N.Steps++
+	m.N.Visited += uint64(m.Index.Open() + len(m.Asks.rows))
 	m.Index.Tick(now)
 	m.age(now)
 	m.silence(now)
@@ -205,6 +208,7 @@
 		return m.next(now, a, o)
 	}
 	home := m.home(a, o)
+	m.N.Visited += uint64(len(o.Reps))
 	for _, id := range o.Reps {
 		r := &m.Reps[id]
 		if !r.fit(now) || (o.Split && r.Role == "prefill") {
--- a/bid/match.go
+++ b/bid/match.go
@@ -74,6 +74,7 @@
 
 func (m *Market) capacity(now time.Duration) (rooms []int) {
 	rooms = make([]int, len(m.Offers))
+	m.N.Visited += uint64(len(m.Reps))
 	for i := range m.Reps {
 		if r := &m.Reps[i]; r.fit(now) {
 			m.free(now, i)
--- a/bid/share.go
+++ b/bid/share.go
@@ -16,8 +16,12 @@
 
 func Nearest(key string, nodes []string) (sorted []string) {
 	sorted = append([]string(nil), nodes...)
+	weights := make(map[string]uint64, len(nodes))
+	for _, n := range nodes {
+		weights[n] = Rank(key, n)
+	}
 	sort.Slice(sorted, func(i, j int) bool {
-		a, b := Rank(key, sorted[i]), Rank(key, sorted[j])
+		a, b := weights[sorted[i]], weights[sorted[j]]
 		if a != b {
 			return a > b
 		}
--- a/crux/duty.go
+++ b/crux/duty.go
@@ -142,7 +142,7 @@
 }
 
 func (n *Node) publish(now time.Duration, domain string, hi uint64) {
-	u := Usages{Domain: domain, By: n.cfg.Name}
+	u := Usages{Domain: domain, By: n.cfg.Name, Urgent: n.duties.urgent[domain]}
 	n.each(domain, func(name, _ string) {
 		w := n.duties.reps[name]
 		if w == nil || (w.row.InstanceID == "" && w.misses < missesDown) {
@@ -195,14 +195,7 @@
 	if w == nil || n.pic == nil {
 		return
 	}
-	domain := ""
-	for _, o := range n.pic.Charter.Offers {
-		for _, r := range o.Replicas {
-			if r.Name == p.Replica {
-				domain = r.Domain
-			}
-		}
-	}
+	domain := n.where[p.Replica].Domain
 	was := w.row
 	if !p.OK {
 		w.misses++
--- a/crux/msg.go
+++ b/crux/msg.go
@@ -27,9 +27,12 @@
 type Usages struct {
 	Domain string
 	By     string
+	Urgent bool
 	Rows   []mallowbridge.Usage
 }
 
+func (u Usages) Passing() (yes bool) { return !u.Urgent }
+
 type Listing struct {
 	Replica string `json:"replica"`
 	State   string `json:"state"`
--- a/crux/news.go
+++ b/crux/news.go
@@ -97,6 +97,12 @@
 	}
 	if len(v.Body) > 0 {
 		n.pic = &charter.Picture{Mark: v.Mark, Charter: c, Emptied: v.Emptied}
+		n.where = map[string]charter.Replica{}
+		for _, o := range c.Offers {
+			for _, r := range o.Replicas {
+				n.where[r.Name] = r
+			}
+		}
 	}
 	n.obey(now)
 }
--- a/crux/node.go
+++ b/crux/node.go
@@ -51,6 +51,7 @@
 
 	value   *pact.Value
 	pic     *charter.Picture
+	where   map[string]charter.Replica
 	obeyed  uint64
 	joined  bool
 	since   time.Duration
--- a/crux/watch.go
+++ b/crux/watch.go
@@ -83,23 +83,9 @@
 	}
 	if now-s.asked > askAnew {
 		s.asked = now
-		if addr := n.replicaAddr(r.Replica); addr != "" {
+		if addr := n.where[r.Replica].Addr; addr != "" {
 			n.out.Probes = append(n.out.Probes, Probe{Replica: r.Replica, Addr: addr, Own: true})
 		}
 	}
 	return false
 }
-
-func (n *Node) replicaAddr(name string) (addr string) {
-	if n.pic == nil {
-		return ""
-	}
-	for _, o := range n.pic.Charter.Offers {
-		for _, r := range o.Replicas {
-			if r.Name == name {
-				return r.Addr
-			}
-		}
-	}
-	return ""
-}
--- a/hint/index.go
+++ b/hint/index.go
@@ -164,6 +164,8 @@
 	return confirmed, predicted
 }
 
+func (x *Index) Open() (n int) { return len(x.gos) }
+
 func (x *Index) Tick(now time.Duration) {
 	x.ttl.adjust(now)
 	x.watch(now)
--- a/kin/member.go
+++ b/kin/member.go
@@ -59,14 +59,39 @@
 	return append(names, far[:min(watchFar, len(far))]...)
 }
 
+// watches tells whether by is among the watchers of target, without ranking all the others.
+func watches(by, target Member, all []Member) (yes bool) {
+	if by.Name == target.Name || !by.Live() {
+		return false
+	}
+	most := watchFar
+	if by.Domain == target.Domain {
+		most = watchNear
+	}
+	mine, above := bid.Rank(target.Name, by.Name), 0
+	for _, m := range all {
+		if m.Name == target.Name || m.Name == by.Name || !m.Live() || (m.Domain == target.Domain) != (by.Domain == target.Domain) {
+			continue
+		}
+		if w := bid.Rank(target.Name, m.Name); w > mine || (w == mine && m.Name < by.Name) {
+			if above++; above == most {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 type Table struct {
 	rows   map[string]Member
 	sorted []Member
+	rev    uint64
 }
 
 func (t *Table) put(m Member) {
 	t.rows[m.Name] = m
 	t.sorted = nil
+	t.rev++
 }
 
 func (t *Table) Get(name string) (m Member, ok bool) {
--- a/kin/watch.go
+++ b/kin/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -63,6 +62,8 @@
 	relays  map[uint64]relay
 	last    map[string]time.Duration
 	suspect map[string]time.Duration
+	watched map[string]bool
+	chosen  uint64
 	heard   time.Duration
 	ticked  time.Duration
 	news    []Member
@@ -171,6 +172,22 @@
 	return nil
 }
 
+// choose names whom this node pings: its own watchers, who must answer it, and whom it watches. It holds until the table changes.
+func (k *Kin) choose(all []Member) {
+	if k.watched != nil && k.chosen == k.Table.rev {
+		return
+	}
+	k.watched, k.chosen = map[string]bool{}, k.Table.rev
+	for _, name := range Watchers(k.Self, all) {
+		k.watched[name] = true
+	}
+	for _, m := range all {
+		if watches(k.Self, m, all) {
+			k.watched[m.Name] = true
+		}
+	}
+}
+
 func (k *Kin) Tick(now time.Duration) (sends []Send) {
 	if now-k.ticked > k.cfg.Gap {
 		k.probes = map[uint64]*probe{}
@@ -191,7 +208,7 @@
 		}
 	}
 	sends = k.overdue(now, all)
-	mine := Watchers(k.Self, all)
+	k.choose(all)
 	for _, m := range all {
 		if m.Name == k.Self.Name || m.State == Left || now-k.last[m.Name] < k.cfg.Every {
 			continue
@@ -200,7 +217,7 @@
 		if slow && now-k.last[m.Name] < 5*k.cfg.Every {
 			continue
 		}
-		if !slow && !slices.Contains(mine, m.Name) && !slices.Contains(Watchers(m, all), k.Self.Name) {
+		if !slow && !k.watched[m.Name] {
 			continue
 		}
 		k.last[m.Name] = now
--- a/muse/muse.go
+++ b/muse/muse.go
@@ -27,7 +27,7 @@
 const warmUp = 15 * time.Second
 
 func (p Plan) scenario(seed uint64) (s stage.Scenario, err error) {
-	shape, _ := stage.ShapeOf(p.Shape)
+	shape, _ := stage.Times(p.Shape, p.Times)
 	s = stage.Scenario{
 		Seed: seed, Shape: shape, Lasts: time.Duration(p.Seconds)*time.Second + warmUp, From: warmUp, Faults: p.Faults, Resend: true, IndexOff: !p.Index, RoundRob: p.Robin,
 		Load: stage.Load{Kinds: shape.Kinds, Rate: p.Rate, Prefixes: p.Prefixes, HotShare: p.Hot, Crowds: p.Crowds}, Asks: p.Asks,
@@ -105,6 +105,9 @@
 	count("denied early", uint64(all.Denied)-rp.DeniedLate)
 	count("denied late", rp.DeniedLate)
 	count("second goes", rp.Seconds)
+	rate := func(name string, v float64) {
+		rs = append(rs, row{name, func(*stage.World) float64 { return v }})
+	}
 	share := func(name string, part uint64) {
 		rs = append(rs, row{name, func(*stage.World) float64 { return 100 * float64(part) / float64(max(rp.PrefixTokens, 1)) }})
 	}
@@ -117,6 +120,8 @@
 	count("control KB", rp.Bytes/1024)
 	count("control KB between domains", rp.CrossBytes/1024)
 	count("stream KB between domains", rp.StreamCross/1024)
+	rate("control bytes per node and second", float64(rp.Bytes)/w.S.Lasts.Seconds()/float64(len(w.Nodes)))
+	rate("rows visited per event", float64(rp.Visited)/float64(max(rp.Steps, 1)))
 	count("service back after ms", uint64(rp.ReturnMs))
 	return rs
 }
--- a/muse/plan.go
+++ b/muse/plan.go
@@ -18,6 +18,7 @@
 	Name     string
 	Shape    string
 	Config   []byte
+	Times    int
 	Seconds  int
 	Seeds    int
 	First    int
@@ -36,7 +37,7 @@
 func (e *FileError) Error() (text string) { return e.Path + ": " + e.Why }
 
 func Default(name string) (p Plan) {
-	return Plan{Name: name, Shape: "tramites", Seconds: 60, Seeds: 5, First: 1, Rate: 60, Hot: 0.1, Prefixes: 24, Index: true}
+	return Plan{Name: name, Shape: "tramites", Times: 1, Seconds: 60, Seeds: 5, First: 1, Rate: 60, Hot: 0.1, Prefixes: 24, Index: true}
 }
 
 func kinds() (names []string) {
@@ -68,7 +69,8 @@
 	if s := d.Str("shape", false, 16); s != "" {
 		p.Shape = s
 	}
-	shape, ok := stage.ShapeOf(p.Shape)
+	p.Times = d.Int("times", 1, 1, 16)
+	shape, ok := stage.Times(p.Shape, p.Times)
 	if !ok {
 		d.Flaw(d.At("shape"), p.Shape, "tramites or atlas")
 	}
--- a/rumor/push.go
+++ b/rumor/push.go
@@ -48,10 +48,10 @@
 		switch {
 		case h.far == eachDomain:
 			each = append(each, k)
-		case h.far == oneFar && h.left == s.cfg.Rounds:
+		case h.far == oneFar && h.first:
 			far = append(far, k)
 		}
-		h.left--
+		h.left, h.first = h.left-1, false
 		if h.left <= 0 {
 			delete(s.hot, k)
 		}
--- a/rumor/rumor.go
+++ b/rumor/rumor.go
@@ -72,10 +72,14 @@
 )
 
 type hot struct {
-	left int
-	far  reach
+	left  int
+	first bool
+	far   reach
 }
 
+// passing news is soon replaced and told once.
+type passing interface{ Passing() (yes bool) }
+
 type Store struct {
 	cfg      Config
 	rng      *rand.Rand
@@ -123,7 +127,11 @@
 	}
 	s.hash ^= leaf(it.Key, it.Mark)
 	s.items[it.Key] = it
-	s.hot[it.Key] = &hot{left: s.cfg.Rounds, far: far}
+	left := s.cfg.Rounds
+	if p, ok := it.Data.(passing); ok && p.Passing() {
+		left = 1
+	}
+	s.hot[it.Key] = &hot{left: left, first: true, far: far}
 	s.Fresh++
 	return true
 }
--- a/stage/report.go
+++ b/stage/report.go
@@ -23,6 +23,7 @@
 	Admitted, Refused                                  uint64
 	PutsTaken, PutsDenied                              int
 	CrossBytes, Bytes, Sent, StreamCross               uint64
+	Steps, Visited                                     uint64
 	ReturnMs                                           int64
 }
 
@@ -91,6 +92,13 @@
 }
 
 func (w *World) collect() {
+	for _, n := range w.Nodes {
+		if n.Alive {
+			c := n.router.Counters()
+			w.Report.Steps += c.Steps
+			w.Report.Visited += c.Visited
+		}
+	}
 	for _, r := range w.Reps {
 		if r.Up {
 			r.collect()
--- a/stage/shape.go
+++ b/stage/shape.go
@@ -22,26 +22,31 @@
 }
 
 func Tramites() (s Shape) {
-	return shape("tramites", "zoning", 12, 3, []string{"a", "b", "c"}, []string{"counter", "checklist", "dossier"}, 0.2)
+	s, _ = Times("tramites", 1)
+	return s
 }
 
 func Atlas() (s Shape) {
-	return shape("atlas", "logbook", 11, 4, []string{"a", "b", "c", "d"}, []string{"lookup", "award", "reconcile"}, 1)
+	s, _ = Times("atlas", 1)
+	return s
 }
 
-func ShapeOf(name string) (s Shape, ok bool) {
+// Times is a fleet of the same shape with several times the nodes and replicas, and as many disks.
+func Times(name string, k int) (s Shape, ok bool) {
 	switch name {
 	case "tramites":
-		return Tramites(), true
+		return shape(k, "tramites", "zoning", 12, 3, []string{"a", "b", "c"}, []string{"counter", "checklist", "dossier"}, 0.2), true
 	case "atlas":
-		return Atlas(), true
+		return shape(k, "atlas", "logbook", 11, 4, []string{"a", "b", "c", "d"}, []string{"lookup", "award", "reconcile"}, 1), true
 	}
 	return s, false
 }
 
-func shape(name, offer string, nodes, cores int, domains, kinds []string, cross float64) (s Shape) {
+func ShapeOf(name string) (s Shape, ok bool) { return Times(name, 1) }
+
+func shape(k int, name, offer string, nodes, cores int, domains, kinds []string, cross float64) (s Shape) {
 	s = Shape{Name: name, Voters: []string{"n1", "n2", "n3"}, Domains: domains, Offer: offer}
-	for i := range nodes {
+	for i := range k * nodes {
 		d := domains[i%len(domains)]
 		s.Nodes = append(s.Nodes, NodeShape{Name: fmt.Sprintf("n%d", i+1), Domain: d, Disk: i < cores})
 	}
@@ -53,7 +58,7 @@
 			"name": k, "value": []int{10, 5, 8}[i], "urgency": 3 - i, "firstTokenMs": bounds[i], "repeatable": i < 2,
 		})
 	}
-	for i := range 18 {
+	for i := range k * 18 {
 		rs = append(rs, map[string]any{
 			"name": fmt.Sprintf("r%d", i+1), "addr": fmt.Sprintf("127.0.0.1:%d", 9001+i), "domain": domains[i%len(domains)], "room": 12,
 		})
