--- a/bid/course.go
+++ b/bid/course.go
@@ -35,7 +35,9 @@
 	o := &m.Offers[a.Offer]
 	r := &m.Reps[a.Rep]
 	vouched := a.State == Sent
-	if m.stalled(now) == "" && r.fit(now) && (vouched || !a.Second || o.second.spend()) {
+	r.restart(a.Began, now)
+	a.Began = now
+	if m.stalled(now) == "" && r.fit(now) && m.free(now, a.Rep) >= 0 && !o.Kinds[a.Kind].Gone && (vouched || !a.Second || o.second.spend()) {
 		a.State, a.Sent, a.Vouched = Sent, now, vouched
 		if !vouched {
 			m.paid(a, o)
--- a/bid/market.go
+++ b/bid/market.go
@@ -54,6 +54,7 @@
 
 	Once   bool
 	Repeat bool
+	Spare  time.Duration
 }
 
 type Counters struct {
--- a/bid/match.go
+++ b/bid/match.go
@@ -25,6 +25,10 @@
 	for _, id := range m.waiting {
 		a := m.Asks.get(id)
 		o := &m.Offers[a.Offer]
+		if o.Kinds[a.Kind].Gone {
+			m.deny(now, id, "kind is no longer offered", time.Second)
+			continue
+		}
 		c, any := m.best(now, a)
 		if c.rep >= 0 && now+c.est <= a.Deadline {
 			m.place(now, id, a, c)
@@ -108,7 +112,7 @@
 	m.N.ConfirmedTokens += uint64(a.Conf)
 	m.N.PredictedTokens += uint64(a.Pred)
 	m.N.PrefixTokens += uint64(hint.Tokens(a.Parts))
-	m.do(Act{Kind: Place, Ask: id, Go: a.Go, Rep: a.Rep, Pre: a.Prefill, Conf: a.Conf, Pred: a.Pred, Once: !o.Kinds[a.Kind].Repeatable})
+	m.do(Act{Kind: Place, Ask: id, Go: a.Go, Rep: a.Rep, Pre: a.Prefill, Conf: a.Conf, Pred: a.Pred, Once: !o.Kinds[a.Kind].Repeatable, Spare: max(a.Deadline-now-a.Est, 0)})
 }
 
 func (m *Market) keeper(a *Ask) (rep int) {
--- a/bid/table.go
+++ b/bid/table.go
@@ -1,6 +1,7 @@
 package bid
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/hint"
@@ -77,6 +78,7 @@
 	Value, Urgency float64
 	Bound          time.Duration
 	Repeatable     bool
+	Gone           bool
 }
 
 type Offer struct {
@@ -184,6 +186,15 @@
 	}
 }
 
+// restart dates a go that waited between placing and sending from its sending.
+func (r *Replica) restart(began, now time.Duration) {
+	if i := slices.Index(r.starts, began); i >= 0 {
+		r.starts = append(slices.Delete(slices.Clone(r.starts), i, i+1), now)
+		return
+	}
+	r.starts = append(r.starts, now)
+}
+
 func (r *Replica) ended(now, began time.Duration) {
 	r.Own--
 	if began <= r.UsageAsOf {
--- a/cmd/mallowbridge/daemon.go
+++ b/cmd/mallowbridge/daemon.go
@@ -89,8 +89,8 @@
 		t.Kill(nil)
 		return err
 	}
-	g := gate.New(h.Desk, func(request string) (how mallowbridge.How) {
-		return crux.Vouch(h.Call(crux.Witness{Request: request}))
+	g := gate.New(h.Desk, func(request string, spare time.Duration) (how mallowbridge.How) {
+		return crux.Vouch(h.Call(crux.Witness{Request: request, Spare: spare}))
 	}, gate.Bounds(s.MaxBody, s.MaxStreams))
 	g.Front = h.Front
 	ops := &gate.Ops{C: h, G: g, Clock: hearth.Clock, Extra: func() map[string]uint64 {
--- a/cmd/mallowbridge/main_test.go
+++ b/cmd/mallowbridge/main_test.go
@@ -1,7 +1,7 @@
 package main
 
 import (
-	"net"
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -19,11 +19,13 @@
 }
 
 func TestScripts(t *testing.T) {
+	next := 0
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(e *testscript.Env) (err error) {
-			for i := range 16 {
-				e.Setenv("P"+strconv.Itoa(i), freePort(t))
+			for i := range 10 {
+				next++
+				e.Setenv("P"+strconv.Itoa(i), own(next))
 			}
 			return nil
 		},
@@ -33,13 +35,10 @@
 	})
 }
 
-func freePort(t *testing.T) (addr string) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
+// own names a loopback address that no other process has reason to take: the process id is in it.
+func own(i int) (addr string) {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 16+pid>>16&0x7f, pid>>8&0xff, pid&0xff, 17100+i)
 }
 
 func await(ts *testscript.TestScript, _ bool, args []string) {
--- a/crux/command.go
+++ b/crux/command.go
@@ -33,7 +33,7 @@
 		n.listed(now, op)
 		n.answer(c.ID, nil)
 	case Witness:
-		n.witness.ask(now, n, c.ID, op.Request)
+		n.witness.ask(now, n, c.ID, op)
 	case Libs:
 		n.Kin.Update(now, func(m *kin.Member) { m.Libs = op.N })
 		n.answer(c.ID, nil)
--- a/crux/msg.go
+++ b/crux/msg.go
@@ -115,7 +115,10 @@
 	At   uint64
 }
 
-type Witness struct{ Request string }
+type Witness struct {
+	Request string
+	Spare   time.Duration
+}
 
 type Libs struct{ N int }
 
--- a/crux/witness.go
+++ b/crux/witness.go
@@ -17,6 +17,7 @@
 	witnessAgain = 60 * time.Millisecond
 	witnessFor   = 10 * time.Minute
 	witnessWait  = 200 * time.Millisecond
+	witnessLast  = 2500 * time.Millisecond
 	witnessMost  = 200000
 )
 
@@ -35,7 +36,8 @@
 	msg    WitnessAsk
 	all    []string
 	open   []string
-	live   int
+	wait   time.Duration
+	yes    int
 	need   int
 	old    int
 }
@@ -97,16 +99,16 @@
 	w.line = slices.DeleteFunc(w.line, func(r string) bool { return r == m.Request })
 }
 
-func (w *witness) ask(now time.Duration, n *Node, id uint64, request string) {
+func (w *witness) ask(now time.Duration, n *Node, id uint64, op Witness) {
 	w.rid++
-	a := &asking{answer: id, born: now, msg: WitnessAsk{Rid: w.rid, Request: request, By: n.prop.By}}
-	for _, m := range n.witnesses(request) {
+	a := &asking{answer: id, born: now, msg: WitnessAsk{Rid: w.rid, Request: op.Request, By: n.prop.By}, wait: min(max(op.Spare, witnessWait), witnessLast)}
+	for _, m := range n.witnesses(op.Request) {
 		a.all = append(a.all, m.Addr)
 		if m.Live() {
 			a.open = append(a.open, m.Addr)
 		}
 	}
-	a.live, a.need = len(a.open), min(vouchers, len(a.open))
+	a.need = min(vouchers, len(a.open))
 	w.asks[w.rid] = a
 	a.send(now, n)
 }
@@ -144,6 +146,7 @@
 		return
 	}
 	a.open = slices.DeleteFunc(a.open, func(addr string) bool { return addr == from })
+	a.yes++
 	if !m.Young {
 		a.old++
 	}
@@ -170,18 +173,29 @@
 	w.bury(now, n)
 	for _, rid := range slices.Sorted(maps.Keys(w.asks)) {
 		a := w.asks[rid]
+		waited := now - a.born
+		if waited >= witnessWait {
+			a.lose(n)
+		}
 		switch {
-		case now-a.born < witnessWait && now-a.sent >= witnessAgain:
-			a.send(now, n)
-		case now-a.born < witnessWait:
-		case a.live-len(a.open) >= a.need:
+		case waited >= witnessWait && a.yes >= a.need:
 			w.close(n, a, FirstAsked)
-		default:
+		case waited >= a.wait:
 			w.close(n, a, TooFew)
+		case now-a.sent >= witnessAgain:
+			a.send(now, n)
 		}
 	}
 }
 
+// lose gives up on witnesses that were found dead meanwhile.
+func (a *asking) lose(n *Node) {
+	a.open = slices.DeleteFunc(a.open, func(addr string) bool {
+		return slices.ContainsFunc(n.Kin.Table.All(), func(m kin.Member) bool { return m.Addr == addr && !m.Live() })
+	})
+	a.need = min(vouchers, a.yes+len(a.open))
+}
+
 func (w *witness) bury(now time.Duration, n *Node) {
 	for _, m := range n.Kin.Table.All() {
 		if m.State != kin.Dead {
--- a/events.go
+++ b/events.go
@@ -132,4 +132,5 @@
 	Repeat    bool          `json:"repeat,omitempty"`
 	Bad       bool          `json:"bad,omitempty"`
 	Once      bool          `json:"once,omitempty"`
+	Spare     time.Duration `json:"spare,omitempty"`
 }
--- a/order.go
+++ b/order.go
@@ -17,6 +17,9 @@
 	}
 	for i := range r.m.Offers {
 		r.m.Offers[i].Reps = r.m.Offers[i].Reps[:0]
+		for k := range r.m.Offers[i].Kinds {
+			r.m.Offers[i].Kinds[k].Gone = true
+		}
 	}
 	offers := map[string]int{}
 	cap := 2 * time.Second
@@ -48,17 +51,15 @@
 		r.kinds[id] = map[string]int{}
 	}
 	known := r.kinds[id]
-	next := map[string]int{}
 	for _, k := range o.Kinds {
 		at, ok := known[k.Name]
 		if !ok {
 			at = len(row.Kinds)
+			known[k.Name] = at
 			row.Kinds = append(row.Kinds, bid.Kind{})
 		}
-		next[k.Name] = at
 		row.Kinds[at] = bid.Kind{Value: k.Value, Urgency: k.Urgency, Bound: k.FirstToken, Repeatable: k.Repeatable}
 	}
-	r.kinds[id] = next
 	for _, c := range o.Replicas {
 		row.Split = row.Split || c.Role == "prefill"
 		row.Reps = append(row.Reps, r.replica(now, id, o.KeepTokens, c))
--- a/router.go
+++ b/router.go
@@ -165,10 +165,10 @@
 		return bad("no such offer")
 	}
 	kind, ok := r.kinds[offer][e.Kind]
-	if !ok {
+	o := &r.m.Offers[offer]
+	if !ok || o.Kinds[kind].Gone {
 		return bad("no such kind")
 	}
-	o := &r.m.Offers[offer]
 	if !o.Kinds[kind].Repeatable && r.once.had(now, e.Request) {
 		return deny(hadOne, true)
 	}
@@ -238,7 +238,7 @@
 		if a.Rep >= 0 {
 			d.Replica, d.Addr = r.seats[a.Rep].name, r.seats[a.Rep].addr
 		}
-		d.Once, d.Repeat = a.Once, a.Repeat
+		d.Once, d.Repeat, d.Spare = a.Once, a.Repeat, a.Spare
 		if a.Kind == bid.Place && a.Pre >= 0 {
 			d.Prefill = r.seats[a.Pre].addr
 		}
--- a/stage/contents.go
+++ b/stage/contents.go
@@ -75,7 +75,11 @@
 	}
 	switch {
 	case !listed:
-		a.breach(Undue, f.n.Name, fmt.Sprintf("%s on %s, mark %d, due %d", f.ask.Kind.Name, c.rep.Name, f.n.router.Mark(), due))
+		var marks []uint64
+		for _, x := range a.inForce(due) {
+			marks = append(marks, x.mark)
+		}
+		a.breach(Undue, f.n.Name, fmt.Sprintf("%s on %s, mark %d, due %d, in force %d", f.ask.Kind.Name, c.rep.Name, f.n.router.Mark(), due, marks))
 	case !kept:
 		a.breach(ToEmptied, c.rep.Name, f.n.Name)
 	}
--- a/stage/faults.go
+++ b/stage/faults.go
@@ -37,6 +37,7 @@
 	AllDown    = "all down"
 	LargePuts  = "large puts"
 	RepTwist   = "replica twists"
+	RepSick    = "replica breaks each answer"
 	RepBlink   = "replica restarts at once"
 	CutControl = "cut domain from other nodes"
 	ClockBack  = "clock set back"
@@ -95,7 +96,7 @@
 		w.split(ns, f.For)
 	case SlowDisk, StallDisk, FullDisk, BadDisk:
 		w.ail(f, ns)
-	case RepCrash, RepDark, RepTwist, RepBlink:
+	case RepCrash, RepDark, RepTwist, RepBlink, RepSick:
 		w.breakReplicas(f)
 	case Release:
 		w.release(f.On, 3*time.Second)
@@ -196,6 +197,11 @@
 func (w *World) breakReplicas(f Fault) {
 	for _, name := range f.On {
 		r := w.byRep[name]
+		if f.Kind == RepSick {
+			r.Sick = true
+			w.after(f.For, func() { r.Sick = false })
+			continue
+		}
 		if f.Kind == RepTwist {
 			r.Twists = 40
 			w.after(f.For, func() { r.Twists = 0 })
--- a/stage/gate.go
+++ b/stage/gate.go
@@ -186,7 +186,7 @@
 }
 
 func (f *flight) vouch(c *conn) {
-	f.w.Call(f.n, crux.Witness{Request: f.ask.Request}, func(a crux.Answer) {
+	f.w.Call(f.n, crux.Witness{Request: f.ask.Request, Spare: c.place.Spare}, func(a crux.Answer) {
 		c.happened(mallowbridge.Vouched{Go: c.place.Go, How: crux.Vouch(a)})
 	})
 }
--- a/stage/mixed.go
+++ b/stage/mixed.go
@@ -16,6 +16,16 @@
 
 func mixedScenes() (all []Scene) {
 	return []Scene{
+		{Name: "one order while machines freeze", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+			for i := range 5 {
+				at := time.Duration(9000+6000*i+rng.IntN(400)) * time.Millisecond
+				fs = append(fs, one(Freeze, at, 5*sec, some(rng, nodeNames(s)[4:], 4)...), one(PutStorm, at+2300*time.Millisecond, 50*time.Millisecond))
+			}
+			return fs
+		}, Change: func(s *Scenario) { s.Load.Rate = 150 }},
+		{Name: "a release that breaks each answer", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+			return []Fault{one(RepSick, 9*sec, 25*sec, some(rng, repNames(), 9)...)}
+		}, Change: func(s *Scenario) { s.Load.Rate = 40 }},
 		{Name: "replicas answer wrongly", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			return []Fault{one(RepTwist, 9*sec, 25*sec, some(rng, repNames(), 9)...)}
 		}},
--- a/stage/rep.go
+++ b/stage/rep.go
@@ -18,6 +18,7 @@
 	Up      bool
 	Dark    bool
 	Leaving bool
+	Sick    bool
 	since   time.Duration
 	before  string
 	Twists  int
--- a/stage/stream.go
+++ b/stage/stream.go
@@ -40,10 +40,23 @@
 		r.conns[c.place.Go] = c
 		c.plan = plan
 		inst := r.m.Instance
+		if r.Sick {
+			w.after(plan.First/4, c.spoil)
+			return
+		}
 		w.after(plan.First, func() { c.emit(inst) })
 	})
 }
 
+func (c *conn) spoil() {
+	r := c.rep
+	if r.conns[c.place.Go] == c {
+		delete(r.conns, c.place.Go)
+		r.m.Release(c.f.w.now, c.place.Go)
+		c.back(func() { c.happened(mallowbridge.Lost{Go: c.place.Go}) })
+	}
+}
+
 func (c *conn) back(do func()) {
 	w := c.f.w
 	if c.rep.Dark || c.cutOff() {
--- /dev/null
+++ b/term/term_test.go
@@ -0,0 +1,139 @@
+package term
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/pact"
+)
+
+const ms = time.Millisecond
+
+type post struct {
+	at  time.Duration
+	do  func()
+	seq int
+}
+
+// A rig plays one duty, several holders whose views of the voters lag, and granters that restart, on clocks that drift.
+type rig struct {
+	rng      *rand.Rand
+	now      time.Duration
+	posts    []post
+	granters map[string]*Granter
+	holders  []*Holder
+	drift    []float64
+	views    []*pact.Value
+	seats    *pact.Value
+}
+
+func (r *rig) at(d time.Duration, do func()) { r.posts = append(r.posts, post{at: r.now + d, do: do}) }
+
+func (r *rig) clock(i int) (local time.Duration) { return time.Duration(float64(r.now) * r.drift[i]) }
+
+func (r *rig) carry(i int, sends []pact.Send) {
+	for _, s := range sends {
+		if r.rng.IntN(10) == 0 {
+			continue
+		}
+		r.at(time.Duration(r.rng.IntN(60))*ms, func() {
+			g := r.granters[s.Disk]
+			switch m := s.Msg.(type) {
+			case Ask:
+				grant, _ := g.Ask(r.now, m)
+				r.at(time.Duration(r.rng.IntN(60))*ms, func() { r.holders[i].OnGrant(r.clock(i), grant, r.views[i]) })
+			case Drop:
+				g.Drop(m)
+			}
+		})
+	}
+}
+
+func (r *rig) reseat() {
+	if len(r.seats.Next) > 0 {
+		r.seats = &pact.Value{Seat: r.seats.Seat + 1, Voters: r.seats.Next}
+	} else {
+		var next []pact.Voter
+		for _, d := range r.rng.Perm(5)[:3] {
+			next = append(next, pact.Voter{Disk: fmt.Sprint(d)})
+		}
+		r.seats = &pact.Value{Seat: r.seats.Seat + 1, Voters: r.seats.Voters, Next: next}
+	}
+	for _, v := range r.seats.All() {
+		if r.rng.IntN(4) > 0 || !pact.Quorum(r.seats, func(d string) bool { return r.granters[d].seat == r.seats.Seat }) {
+			r.granters[v.Disk].Reseat(r.now, r.seats.Seat)
+		}
+	}
+	seats := r.seats
+	for i := range r.holders {
+		r.at(time.Duration(r.rng.IntN(9000))*ms, func() {
+			if seats.Seat > r.views[i].Seat {
+				r.views[i] = seats
+			}
+		})
+	}
+}
+
+func (r *rig) step() {
+	due := r.posts[:0:0]
+	kept := r.posts[:0]
+	for _, p := range r.posts {
+		if p.at <= r.now {
+			due = append(due, p)
+		} else {
+			kept = append(kept, p)
+		}
+	}
+	r.posts = kept
+	for _, p := range due {
+		p.do()
+	}
+}
+
+func TestNeverTwoHolders(t *testing.T) {
+	held := 0
+	for seed := range uint64(150) {
+		r := &rig{rng: rand.New(rand.NewPCG(seed, 1)), granters: map[string]*Granter{}, seats: &pact.Value{Seat: 1}}
+		for d := range 5 {
+			r.granters[fmt.Sprint(d)] = NewGranter(fmt.Sprint(d), nil, 0)
+		}
+		for d := range 3 {
+			r.seats.Voters = append(r.seats.Voters, pact.Voter{Disk: fmt.Sprint(d)})
+			r.granters[fmt.Sprint(d)].Reseat(0, 1)
+		}
+		for i := range 4 {
+			r.holders, r.views = append(r.holders, NewHolder(fmt.Sprint("h", i), seed*10+uint64(i))), append(r.views, r.seats)
+			r.drift = append(r.drift, 0.95+0.1*r.rng.Float64())
+		}
+		for r.now = 0; r.now < 2*time.Minute; r.now += 10 * ms {
+			r.step()
+			if r.rng.IntN(500) == 0 {
+				r.reseat()
+			}
+			if r.rng.IntN(150) == 0 {
+				d := fmt.Sprint(r.rng.IntN(5))
+				old := r.granters[d]
+				r.granters[d] = NewGranter(d, old.Kept(), r.now+TTL)
+				r.granters[d].Reseat(r.now, old.seat)
+			}
+			holders := []string{}
+			for i, h := range r.holders {
+				if r.rng.IntN(5) == 0 && int(r.now/(7*time.Second))%4 != i {
+					r.carry(i, h.Want(r.clock(i), "d", r.views[i]))
+				}
+				if _, ok := h.Holds(r.clock(i), "d"); ok {
+					holders = append(holders, h.Name)
+				}
+			}
+			if len(holders) > 1 {
+				t.Fatalf("seed %d at %s: %v hold it, seats %d", seed, r.now, holders, r.seats.Seat)
+			}
+			held += len(holders)
+		}
+	}
+	if held < 150*3000 {
+		t.Errorf("held in %d steps only", held)
+	}
+}
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -67,13 +67,13 @@
 	var slots, logs [2][]byte
 	var gens [2]uint64
 	var whole [2]bool
-	empty := true
+	empty, turned := true, false
 	for i := range uint64(2) {
 		var there bool
 		if slots[i], there, err = disk.Read(slotName(i)); err != nil {
 			return nil, nil, nil, trace.Wrap(&UnreadableError{File: slotName(i), Why: err.Error()})
 		}
-		empty = empty && !there
+		empty, turned = empty && !there, turned || (there && i == 0)
 		if logs[i], there, err = disk.Read(logName(i)); err != nil {
 			return nil, nil, nil, trace.Wrap(&UnreadableError{File: logName(i), Why: err.Error()})
 		}
@@ -88,11 +88,11 @@
 		return v, nil, nil, nil
 	}
 	if !whole[0] && !whole[1] {
-		if len(logs[0])+len(logs[1]) == 0 {
+		if len(logs[0])+len(logs[1]) == 0 && !turned {
 			v.Repair = "both slots are torn and no log was begun: a first write was cut"
 			return v, nil, nil, nil
 		}
-		return nil, nil, nil, trace.Wrap(&UnreadableError{File: "slot0 and slot1", Why: "no valid slot, yet a log"})
+		return nil, nil, nil, trace.Wrap(&UnreadableError{File: "slot0 and slot1", Why: "no valid slot, yet more than a first write"})
 	}
 	best := 0
 	if whole[1] && (!whole[0] || gens[1] > gens[0]) {
