--- /dev/null
+++ b/crux/witness_test.go
@@ -0,0 +1,145 @@
+package crux
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+type fleet struct {
+	t     *testing.T
+	now   time.Duration
+	nodes map[string]*Node
+	mute  map[string]bool
+	said  map[uint64]Answer
+	asked uint64
+}
+
+func newFleet(t *testing.T, size int) (f *fleet) {
+	f = &fleet{t: t, nodes: map[string]*Node{}, mute: map[string]bool{}, said: map[uint64]Answer{}}
+	for i := range size {
+		f.boot(i, 1)
+	}
+	for _, n := range f.nodes {
+		for _, o := range f.nodes {
+			n.Kin.Hear(0, o.Kin.Self)
+		}
+	}
+	return f
+}
+
+func (f *fleet) boot(i int, life uint64) {
+	name := fmt.Sprint("n", i)
+	f.nodes[name] = New(f.now, Config{Name: name, Addr: name, Boot: fmt.Sprint(life), Domain: fmt.Sprint(i % 3), Inc: life, Seed: life, Kin: kin.Defaults(), Rumor: rumor.Defaults()})
+	for _, o := range f.nodes {
+		f.nodes[name].Kin.Hear(f.now, o.Kin.Self)
+	}
+}
+
+func (f *fleet) carry(from string, out Out) {
+	for _, a := range out.Answers {
+		f.said[a.ID] = a
+	}
+	for _, s := range out.Sends {
+		switch s.Msg.(type) {
+		case WitnessAsk, WitnessSay, WitnessForget:
+			if !f.mute[s.To] && !f.mute[from] {
+				f.carry(s.To, f.nodes[s.To].Step(f.now, Recv{From: from, Msg: s.Msg}))
+			}
+		}
+	}
+}
+
+func (f *fleet) ask(at, request string) (how mallowbridge.How, took time.Duration) {
+	f.asked++
+	id, from := f.asked, f.now
+	f.carry(at, f.nodes[at].Step(f.now, Command{ID: id, Op: Witness{Request: request}}))
+	for ; f.now-from < 3*time.Second; f.now += 10 * time.Millisecond {
+		if a, ok := f.said[id]; ok {
+			return Vouch(a), f.now - from
+		}
+		n := f.nodes[at]
+		n.out = &Out{}
+		n.witness.tick(f.now, n)
+		f.carry(at, *n.out)
+	}
+	f.t.Fatalf("%s was never answered", request)
+	return "", 0
+}
+
+func TestWitnesses(t *testing.T) {
+	f := newFleet(t, 12)
+	f.now = 11 * time.Minute
+	if how, took := f.ask("n0", "q1"); how != "" || took != 0 {
+		t.Errorf("the first asker: %q after %s", how, took)
+	}
+	if how, _ := f.ask("n0", "q1"); how != "" {
+		t.Errorf("the same router again: %q", how)
+	}
+	if how, _ := f.ask("n7", "q1"); how != mallowbridge.Withheld {
+		t.Errorf("another router: %q", how)
+	}
+	set := f.nodes["n0"].witnesses("q2")
+	for _, m := range set[:2] {
+		f.mute[m.Name] = true
+	}
+	if how, took := f.ask(set[3].Name, "q2"); how != "" || took != 0 {
+		t.Errorf("two of six are silent: %q after %s", how, took)
+	}
+	f.mute[set[2].Name] = true
+	if how, took := f.ask(set[3].Name, "q3"); how != "" && took < witnessWait {
+		t.Errorf("gave up after %s", took)
+	}
+	if how, took := f.ask(set[3].Name, "q2b"+find(f, set[:3])); how != mallowbridge.Unvouched || took < witnessWait || took > 2*witnessWait {
+		t.Errorf("three of six are silent: %q after %s", how, took)
+	}
+	f.mute = map[string]bool{}
+	if how, _ := f.ask(set[4].Name, "q2b"+find(f, set[:3])); how != "" {
+		t.Errorf("what was denied as not run is still remembered: %q", how)
+	}
+}
+
+// find gives an ending that makes the three witnesses of one request those of another.
+func find(f *fleet, silent []kin.Member) (ending string) {
+	for i := 0; ; i++ {
+		n := 0
+		for _, m := range f.nodes["n0"].witnesses(fmt.Sprint("q2b", i)) {
+			for _, s := range silent {
+				if s.Name == m.Name {
+					n++
+				}
+			}
+		}
+		if n == len(silent) {
+			return fmt.Sprint(i)
+		}
+	}
+}
+
+// The first router reached four of six, three of those die, the fourth is slow: the second router must not find four others.
+func TestADeathMovesNoWitness(t *testing.T) {
+	for i := range 100 {
+		f := newFleet(t, 12)
+		f.now = 11 * time.Minute
+		request := fmt.Sprint("r", i)
+		set := f.nodes["n0"].witnesses(request)
+		first, second := set[0].Name, set[5].Name
+		f.mute[set[4].Name], f.mute[second] = true, true
+		if how, _ := f.ask(first, request); how != "" {
+			t.Fatal(request, how)
+		}
+		f.mute = map[string]bool{set[3].Name: true}
+		for _, m := range set[:3] {
+			m.State = kin.Dead
+			f.nodes[second].Kin.Hear(f.now, m)
+			f.mute[m.Name] = true
+		}
+		if how, _ := f.ask(second, request); how == "" {
+			t.Errorf("%s ran twice: its three living witnesses were not enough to go by", request)
+		}
+	}
+}
