--- a/cmd/mallowbridge/main.go
+++ b/cmd/mallowbridge/main.go
@@ -31,6 +31,7 @@
 	standIns(app, cmds)
 	tools(app, cmds)
 	whatIf(app, cmds)
+	gauge(app, cmds)
 	name, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintln(errs, "mallowbridge:", err)
--- a/cmd/mallowbridge/muse.go
+++ b/cmd/mallowbridge/muse.go
@@ -48,6 +48,21 @@
 	}
 }
 
+func gauge(app *kingpin.Application, cmds map[string]command) {
+	c := app.Command("gauge", "Break one thing at a time in a simulated fleet and time how long the fleet takes to notice, hand over, obey, return.")
+	seeds := c.Flag("seeds", "Seeds.").Default("50").Uint64()
+	first := c.Flag("seed", "First seed.").Default("1").Uint64()
+	shape := c.Flag("shape", "Fleet: tramites or atlas.").Default("tramites").Enum("tramites", "atlas")
+	cmds["gauge"] = func(_ io.Reader, out io.Writer) error {
+		sh, _ := stage.ShapeOf(*shape)
+		fmt.Fprintf(out, "%-36s %8s %8s %8s\n", fmt.Sprintf("%s, ms over %d seeds from %d", *shape, *seeds, *first), "p50", "p95", "max")
+		for _, r := range stage.Gauge(sh, *first, *seeds) {
+			fmt.Fprintf(out, "%-36s %8d %8d %8d\n", r.Name, stage.Quantile(r.Ms, 0.5), stage.Quantile(r.Ms, 0.95), stage.Quantile(r.Ms, 1))
+		}
+		return nil
+	}
+}
+
 func replay(out io.Writer, p *muse.Plan, file string) (err error) {
 	if file == "" {
 		return nil
--- a/router.go
+++ b/router.go
@@ -73,6 +73,15 @@
 	return r.m.Roomless(now)
 }
 
+// Trusts names the instance that the replica is held to be, or nothing while it is down or in doubt.
+func (r *Router) Trusts(replica string) (instance string) {
+	id, ok := r.reps[replica]
+	if !ok || !r.m.Reps[id].Up || r.m.Reps[id].Doubt > 0 {
+		return ""
+	}
+	return r.seats[id].instance
+}
+
 func (r *Router) Running() (n int) { return len(r.asks) }
 
 func (r *Router) Unsent() (n int) { return r.m.Unsent() }
--- /dev/null
+++ b/stage/gauge.go
@@ -0,0 +1,174 @@
+package stage
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/kin"
+)
+
+type Reading struct {
+	Name string
+	Ms   []int64
+}
+
+type gauge struct {
+	shape Shape
+	seed  uint64
+	rs    []Reading
+}
+
+// Gauge breaks one thing at a time in a calm fleet under load and times how long the fleet takes, for each seed.
+func Gauge(shape Shape, from, seeds uint64) (rs []Reading) {
+	g := &gauge{shape: shape}
+	for g.seed = from; g.seed < from+seeds; g.seed++ {
+		g.lost("killed", func(n *Node) { n.kill() })
+		g.lost("frozen", func(n *Node) { n.freeze() })
+		g.lost("cut off", func(n *Node) { n.w.isolate([]*Node{n}, time.Minute, true, false) })
+		g.alone()
+		g.wakes()
+		g.orders()
+		g.handover()
+		g.restart()
+		g.stop()
+		g.tracks()
+		g.falseWarm()
+	}
+	return g.rs
+}
+
+func (g *gauge) world() (w *World) {
+	w = New(Scenario{Seed: g.seed, Shape: g.shape, Load: Load{Kinds: g.shape.Kinds, Rate: 60, Prefixes: 24, HotShare: 0.1}})
+	w.Boot()
+	w.Load(5*time.Second, time.Minute)
+	w.run(12 * time.Second)
+	return w
+}
+
+func (g *gauge) read(name string, w *World, from time.Duration, until func() (yes bool)) {
+	for !until() && w.now < from+30*time.Second {
+		w.run(w.now + 5*time.Millisecond)
+	}
+	g.add(name, (w.now - from).Milliseconds())
+}
+
+func (g *gauge) add(name string, ms int64) {
+	for i := range g.rs {
+		if g.rs[i].Name == name {
+			g.rs[i].Ms = append(g.rs[i].Ms, ms)
+			return
+		}
+	}
+	g.rs = append(g.rs, Reading{Name: name, Ms: []int64{ms}})
+}
+
+func (w *World) others(n *Node, all bool, test func(o *Node) (yes bool)) (yes bool) {
+	for _, o := range w.Nodes {
+		if o != n && o.Alive && !o.frozen && test(o) != all {
+			return !all
+		}
+	}
+	return all
+}
+
+func (g *gauge) lost(how string, harm func(n *Node)) {
+	w := g.world()
+	n := w.Nodes[w.rng.IntN(len(w.Nodes))]
+	from := w.now
+	harm(n)
+	dead := func(o *Node) (yes bool) {
+		m, _ := o.node.Kin.Table.Get(n.Name)
+		return m.State == kin.Dead
+	}
+	g.read(how+": first node knows", w, from, func() bool { return w.others(n, false, dead) })
+	g.read(how+": all nodes know", w, from, func() bool { return w.others(n, true, dead) })
+}
+
+func (g *gauge) alone() {
+	w := g.world()
+	n := w.Nodes[w.rng.IntN(len(w.Nodes))]
+	from := w.now
+	w.isolate([]*Node{n}, 6*time.Second, true, false)
+	g.read("cut off: it denies", w, from, func() bool { return n.router.Ready(n.local()) != "" })
+	w.run(from + 6*time.Second)
+	g.read("cut healed: it serves", w, w.now, func() bool { return n.router.Ready(n.local()) == "" })
+}
+
+func (g *gauge) wakes() {
+	w := g.world()
+	n := w.Nodes[w.rng.IntN(len(w.Nodes))]
+	n.freeze()
+	w.run(w.now + 6*time.Second)
+	n.thaw()
+	w.run(w.now + 100*time.Millisecond)
+	g.read("woken: it serves", w, w.now-100*time.Millisecond, func() bool { return n.router.Ready(n.local()) == "" })
+}
+
+func (g *gauge) orders() {
+	w := g.world()
+	mark := uint64(0)
+	from := w.now
+	w.Put(w.someNode(), w.Nodes[0].router.Mark(), w.varied(false), func(a crux.Answer) {
+		if a.Err == nil {
+			mark = a.Value.Mark
+		}
+	})
+	g.read("put: accepted", w, from, func() bool { return mark > 0 })
+	g.read("put: all nodes obey, after yes", w, w.now, func() bool { return w.others(nil, true, func(o *Node) bool { return o.router.Mark() >= mark }) })
+}
+
+func (g *gauge) handover() {
+	w := g.world()
+	duty := "probe/" + g.shape.Domains[w.rng.IntN(len(g.shape.Domains))]
+	holder := func() (n *Node) {
+		for _, o := range w.Nodes {
+			for _, d := range o.node.Holding(o.local()) {
+				if o.Alive && d == duty {
+					return o
+				}
+			}
+		}
+		return nil
+	}
+	n := holder()
+	if n == nil {
+		return
+	}
+	from := w.now
+	n.kill()
+	g.read("duty: held by another", w, from, func() bool { return holder() != nil })
+}
+
+func (g *gauge) restart() {
+	w := g.world()
+	r := w.Reps[w.rng.IntN(len(w.Reps))]
+	old := r.m.Instance
+	r.crash()
+	from := w.now
+	doubts := func(o *Node) (yes bool) { return o.router.Trusts(r.Name) != old }
+	g.read("replica crashed: all nodes see it", w, from, func() bool { return w.others(nil, true, doubts) })
+	w.run(w.now + time.Second)
+	from = w.now
+	r.start(w.now)
+	g.read("replica is back: all nodes see it", w, from, func() bool {
+		return w.others(nil, true, func(o *Node) bool { return o.router.Trusts(r.Name) == r.m.Instance })
+	})
+}
+
+func (g *gauge) stop() {
+	w := g.world()
+	for _, n := range w.Nodes {
+		n.kill()
+		if n.Disk != nil {
+			n.Disk.PowerCut()
+		}
+	}
+	w.run(w.now + 5*time.Second)
+	from := w.now
+	for _, n := range w.Nodes {
+		w.after(time.Duration(w.rng.Int64N(int64(time.Second))), n.start)
+	}
+	ready := func(n *Node) (yes bool) { return n.router.Ready(n.local()) == "" }
+	g.read("full stop: first node serves", w, from, func() bool { return w.others(nil, false, ready) })
+	g.read("full stop: all nodes serve", w, from, func() bool { return w.now > from+time.Second && w.others(nil, true, ready) })
+}
