--- a/stage/gauge.go
+++ b/stage/gauge.go
@@ -40,7 +40,7 @@
 func (g *gauge) world() (w *World) {
 	w = New(Scenario{Seed: g.seed, Shape: g.shape, Load: Load{Kinds: g.shape.Kinds, Rate: 60, Prefixes: 24, HotShare: 0.1}})
 	w.Boot()
-	w.Load(5*time.Second, time.Minute)
+	w.Load(5*time.Second, 4*time.Minute)
 	w.run(12 * time.Second)
 	return w
 }
--- a/stage/gaugettl.go
+++ b/stage/gaugettl.go
@@ -19,7 +19,6 @@
 // tracks follows T while all replicas take longer to their first token for 40 s, and then no longer do.
 func (g *gauge) tracks() {
 	w := g.world()
-	w.Load(w.now, 4*time.Minute)
 	w.run(45 * time.Second)
 	base := w.Reps[0].m.Base
 	slow := func(d time.Duration) {
@@ -49,12 +48,11 @@
 // falseWarm compares guesses that nothing confirmed, while replicas crash, with the source's estimate of rate, share and T.
 func (g *gauge) falseWarm() {
 	w := g.world()
-	w.Load(w.now, 2*time.Minute)
 	for i := range 10 {
 		w.at(w.now+time.Duration(3*i)*time.Second, func() { w.Break(Fault{Kind: RepCrash, On: some(w.whim, repNames(), 2), For: 2 * time.Second}) })
 	}
-	w.run(w.now + 40*time.Second)
+	w.run(52 * time.Second)
 	t, _, stale, recorded := w.ttl()
 	g.add("guesses never confirmed, per 100000", int64(100000*stale/max(recorded, 1)))
-	g.add("false warm guesses live, thousandths", int64(float64(stale)/40*float64(t)))
+	g.add("false warm guesses live, thousandths", int64(float64(stale)/47*float64(t)))
 }
