Mix builds: nothing is sent that the peer's build cannot read; a more fickle platform

News of a kind that the peer's build lacks would cost it the whole frame and the connection, again with each digest.

--- a/crux/node.go
+++ b/crux/node.go
@@ -16,6 +16,7 @@
 	Name, Addr, HTTP, Domain string
 	Seeds                    []string
 	Boot                     string
+	Build                    uint32
 	Inc                      uint64
 	Seed                     uint64
 	Disk                     *Kept
@@ -73,7 +74,7 @@
 }
 
 func New(now time.Duration, cfg Config) (n *Node) {
-	self := kin.Member{Name: cfg.Name, Addr: cfg.Addr, HTTP: cfg.HTTP, Domain: cfg.Domain, Inc: cfg.Inc, Build: wire.Build}
+	self := kin.Member{Name: cfg.Name, Addr: cfg.Addr, HTTP: cfg.HTTP, Domain: cfg.Domain, Inc: cfg.Inc, Build: max(cfg.Build, wire.Build)}
 	by := cfg.Name + "/" + cfg.Boot
 	n = &Node{
 		cfg: cfg, prop: pact.NewProposer(by, cfg.Seed), hold: term.NewHolder(by, cfg.Seed), Rumor: rumor.New(cfg.Rumor, cfg.Seed),
@@ -163,44 +164,6 @@
 	n.out.Changes = append(n.out.Changes, Change{What: what, Detail: detail})
 }
 
-func (n *Node) send(to string, msg any) {
-	if to == n.cfg.Addr {
-		n.local = append(n.local, Recv{From: to, Msg: msg})
-		return
-	}
-	if to != "" {
-		n.out.Sends = append(n.out.Sends, Send{To: to, Msg: msg})
-	}
-}
-
-func (n *Node) addrOf(disk string) (addr string) {
-	for _, m := range n.Kin.Table.All() {
-		if m.Disk == disk && m.State != kin.Left {
-			return m.Addr
-		}
-	}
-	return ""
-}
-
-func (n *Node) toDisks(sends []pact.Send) {
-	for _, s := range sends {
-		if n.voter != nil && s.Disk == n.voter.Disk {
-			n.send(n.cfg.Addr, s.Msg)
-			continue
-		}
-		n.send(n.addrOf(s.Disk), s.Msg)
-	}
-}
-
-func (n *Node) peers() (ps []rumor.Peer) {
-	for _, m := range n.Kin.Table.All() {
-		if m.Name != n.cfg.Name && m.Live() {
-			ps = append(ps, rumor.Peer{Name: m.Name, Addr: m.Addr, Domain: m.Domain, Near: m.Domain == n.cfg.Domain})
-		}
-	}
-	return ps
-}
-
 func (n *Node) recv(now time.Duration, r Recv) {
 	if r.From != n.cfg.Addr {
 		n.rouse(r)
@@ -233,18 +196,6 @@
 	}
 }
 
-func (n *Node) kinSends(ss []kin.Send) {
-	for _, s := range ss {
-		n.send(s.To, s.Msg)
-	}
-}
-
-func (n *Node) rumorSends(ss []rumor.Send) {
-	for _, s := range ss {
-		n.send(s.To, s.Msg)
-	}
-}
-
 func (n *Node) rouse(r Recv) {
 	switch r.Msg.(type) {
 	case kin.Ping, kin.Ack:
--- /dev/null
+++ b/crux/send.go
@@ -0,0 +1,84 @@
+package crux
+
+import (
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/pact"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+// newer is a kind of message or news that older builds cannot read: gob has no name for it there.
+type newer interface{ Since() (build uint32) }
+
+func (n *Node) send(to string, msg any) {
+	if to == n.cfg.Addr {
+		n.local = append(n.local, Recv{From: to, Msg: msg})
+		return
+	}
+	if msg, ok := n.readable(to, msg); ok && to != "" {
+		n.out.Sends = append(n.out.Sends, Send{To: to, Msg: msg})
+	}
+}
+
+func (n *Node) addrOf(disk string) (addr string) {
+	for _, m := range n.Kin.Table.All() {
+		if m.Disk == disk && m.State != kin.Left {
+			return m.Addr
+		}
+	}
+	return ""
+}
+
+func (n *Node) toDisks(sends []pact.Send) {
+	for _, s := range sends {
+		if n.voter != nil && s.Disk == n.voter.Disk {
+			n.send(n.cfg.Addr, s.Msg)
+			continue
+		}
+		n.send(n.addrOf(s.Disk), s.Msg)
+	}
+}
+
+func (n *Node) peers() (ps []rumor.Peer) {
+	for _, m := range n.Kin.Table.All() {
+		if m.Name != n.cfg.Name && m.Live() {
+			ps = append(ps, rumor.Peer{Name: m.Name, Addr: m.Addr, Domain: m.Domain, Near: m.Domain == n.cfg.Domain})
+		}
+	}
+	return ps
+}
+
+func (n *Node) kinSends(ss []kin.Send) {
+	for _, s := range ss {
+		n.send(s.To, s.Msg)
+	}
+}
+
+func (n *Node) rumorSends(ss []rumor.Send) {
+	for _, s := range ss {
+		n.send(s.To, s.Msg)
+	}
+}
+
+// readable leaves out what the peer's build cannot read: one unknown kind would cost it the whole frame and the connection.
+func (n *Node) readable(to string, msg any) (fit any, ok bool) {
+	build := uint32(1)
+	for _, m := range n.Kin.Table.All() {
+		if m.Addr == to {
+			build = m.Build
+		}
+	}
+	if k, is := msg.(newer); is && k.Since() > build {
+		return nil, false
+	}
+	news, is := msg.(rumor.News)
+	if !is {
+		return msg, true
+	}
+	var fitting rumor.News
+	for _, it := range news.Items {
+		if k, is := it.Data.(newer); !is || k.Since() <= build {
+			fitting.Items = append(fitting.Items, it)
+		}
+	}
+	return fitting, true
+}
--- a/stage/audit.go
+++ b/stage/audit.go
@@ -31,6 +31,7 @@
 	NoReturn    = "service did not return"
 	TwoValues   = "one mark, two configurations"
 	TwoHolders  = "two holders of one claim"
+	Unreadable  = "a frame that a neighbouring build cannot read"
 	Undue       = "contents of a configuration not obeyed"
 	AgainNot    = "second go of a kind that may not be repeated"
 	StaleGuess  = "warm guess outlived its time"
--- a/stage/eyes.go
+++ b/stage/eyes.go
@@ -77,3 +77,14 @@
 	}
 	n.later(n.w.Net.delay(n.Domain == r.Domain), gone)
 }
+
+func (n *Node) probe(p crux.Probe) {
+	r := n.w.byRep[p.Replica]
+	if r == nil || !r.Up || r.Dark || n.cutFrom(r) {
+		n.later(400*time.Millisecond, func() { n.step(crux.Probed{Replica: p.Replica, Own: p.Own}) })
+		return
+	}
+	res := r.report()
+	res.Own = p.Own
+	n.later(2*n.w.Net.delay(n.Domain == r.Domain), func() { n.step(res) })
+}
--- a/stage/mixed.go
+++ b/stage/mixed.go
@@ -19,6 +19,9 @@
 		{Name: "our nodes are upgraded one by one", Whole: true, Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			return []Fault{one(Upgrade, 9*sec, 0, nodeNames(s)...)}
 		}, Change: func(s *Scenario) { s.Lasts = 80 * sec }},
+		{Name: "neighbouring builds are mixed", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
+			return []Fault{one(PutStorm, 9*sec, 20*sec), one(Kill, 12*sec, 2*sec, some(rng, nodeNames(s), 3)...), one(CutDomain, 20*sec, 5*sec, s.Domains[rng.IntN(len(s.Domains))])}
+		}, Change: func(s *Scenario) { s.Builds = true }},
 		{Name: "one order while machines freeze", Faults: func(s Shape, rng *rand.Rand) (fs []Fault) {
 			for i := range 5 {
 				at := time.Duration(9000+6000*i+rng.IntN(400)) * time.Millisecond
--- a/stage/node.go
+++ b/stage/node.go
@@ -23,6 +23,7 @@
 	inbox  []func()
 	life   uint64
 	front  string
+	build  uint32
 	skew   time.Duration
 	wall   time.Duration
 	node   *crux.Node
@@ -44,6 +45,9 @@
 		skew: time.Duration(w.rng.Int64N(int64(100 * time.Hour))),
 		wall: time.Duration(w.whim.Int64N(int64(10 * time.Second))), asks: map[string]*flight{},
 	}
+	if w.S.Builds && i%2 == 0 {
+		n.build = 2
+	}
 	if s.Disk {
 		n.Disk = NewDisk(w.S.Seed*100 + uint64(i))
 	}
@@ -75,7 +79,7 @@
 	boot := strconv.FormatUint(w.whim.Uint64(), 36)
 	cfg := crux.Config{
 		Name: n.Name, Addr: n.Addr, Domain: n.Domain, Seeds: n.seeds(), Boot: boot, Inc: crux.Inc(time.UnixMilli(int64(n.unixMs())), w.whim.Uint64()), Seed: w.S.Seed<<16 + n.life,
-		Kin: kin.Defaults(), Rumor: rumor.Defaults(),
+		Kin: kin.Defaults(), Rumor: rumor.Defaults(), Build: n.build,
 	}
 	if n.Disk != nil {
 		k, err := crux.OpenKeeper(n.Disk, fmt.Sprintf("disk-%s-%d", n.Name, n.life))
@@ -105,6 +109,7 @@
 		}
 		w.after(tickEvery, n.tick)
 		if !n.frozen {
+			n.novel()
 			n.step(crux.Tick{})
 			n.decide(n.router.Step(n.local(), mallowbridge.Tick{}))
 		}
@@ -150,6 +155,10 @@
 		if to == nil {
 			continue
 		}
+		if to.foreign(s.Msg) {
+			w.Audit.breach(Unreadable, to.Name, fmt.Sprintf("%T from %s", s.Msg, n.Name))
+			continue
+		}
 		msgs, delays := w.Net.carry(n.Addr, s.To, n.Domain == to.Domain, s.Msg, fmt.Sprintf("%T", s.Msg))
 		for i, m := range msgs {
 			w.after(delays[i], func() { to.step(crux.Recv{From: n.Addr, Msg: m}) })
@@ -231,14 +240,3 @@
 		do()
 	}
 }
-
-func (n *Node) probe(p crux.Probe) {
-	r := n.w.byRep[p.Replica]
-	if r == nil || !r.Up || r.Dark || n.cutFrom(r) {
-		n.later(400*time.Millisecond, func() { n.step(crux.Probed{Replica: p.Replica, Own: p.Own}) })
-		return
-	}
-	res := r.report()
-	res.Own = p.Own
-	n.later(2*n.w.Net.delay(n.Domain == r.Domain), func() { n.step(res) })
-}
--- a/stage/orders.go
+++ b/stage/orders.go
@@ -16,7 +16,7 @@
 		w.Empty(n, f.On[0], false, func(crux.Answer) {})
 		w.after(f.For, func() { w.Empty(w.someNode(), f.On[0], true, func(crux.Answer) {}) })
 	case Lists:
-		w.lists(w.now+f.For, map[string]string{})
+		w.lists(w.now+f.For, map[string]string{}, 0)
 	case SwapVoters:
 		w.Call(w.someNode(), crux.Swap{ID: "swap" + f.At.String(), Names: f.On}, func(a crux.Answer) { w.Say("swap: %v", a.Err) })
 	case PutStorm, Race, LargePuts:
@@ -63,23 +63,28 @@
 	}
 }
 
-// lists is a platform that repeats what it knows, late, out of order, to any node, and names replicas that nobody has.
-func (w *World) lists(end time.Duration, states map[string]string) {
+// lists is a platform that tells changes late and out of order to any node, contradicts itself within the travel of news,
+// repeats all it knows now and then, and names replicas that nobody has.
+func (w *World) lists(end time.Duration, states map[string]string, round int) {
 	if w.now >= end {
 		for _, name := range sortedKeys(states) {
 			states[name] = "present"
 		}
 	}
-	if w.now >= end+4*time.Second {
+	if w.now >= end+5*time.Second {
 		return
 	}
-	if at := w.Reps[w.whim.IntN(len(w.Reps))].Name; w.now < end && w.whim.IntN(3) == 0 {
+	if at := w.Reps[w.whim.IntN(len(w.Reps))].Name; w.now < end && w.whim.IntN(2) == 0 {
 		states[at] = []string{"leaving", "gone", "present", "leaving"}[w.whim.IntN(4)]
+		state := states[at]
+		w.list(at, "present")
+		w.after(time.Duration(10+w.whim.IntN(60))*time.Millisecond, func() { w.list(at, state) })
 	}
 	states["nobody"] = "present"
 	for _, name := range sortedKeys(states) {
-		state := states[name]
-		w.after(time.Duration(w.whim.Int64N(int64(900*time.Millisecond))), func() { w.list(name, state) })
+		if state := states[name]; round%6 == 5 || w.now >= end {
+			w.after(time.Duration(w.whim.Int64N(int64(900*time.Millisecond))), func() { w.list(name, state) })
+		}
 	}
-	w.after(800*time.Millisecond, func() { w.lists(end, states) })
+	w.after(800*time.Millisecond, func() { w.lists(end, states, round+1) })
 }
--- a/stage/world.go
+++ b/stage/world.go
@@ -22,6 +22,7 @@
 	IndexOff bool
 	RoundRob bool
 	Resend   bool
+	Builds   bool
 	Asks     []Ask
 	From     time.Duration
 	Tune     func(w *World)
