--- a/stage/rep.go
+++ b/stage/rep.go
@@ -98,7 +98,7 @@
 	case 0:
 		return false
 	case 1:
-		l.Go = "someone.else.1"
+		l.Go, l.Text = "someone.else.1", tally.Piece("someone", "someone.else.1", *l.Piece)
 	case 2:
 		l.InstanceID += "x"
 	case 3:
--- a/stage/report.go
+++ b/stage/report.go
@@ -24,6 +24,7 @@
 	PutsTaken, PutsDenied                              int
 	CrossBytes, Bytes, Sent, StreamCross               uint64
 	Steps, Visited                                     uint64
+	Exempt                                             int
 	ReturnMs                                           int64
 }
 
@@ -86,6 +87,7 @@
 	fmt.Fprintf(out, "prefix tokens in cache %.1f%%, counted on: confirmed %.1f%%, predicted %.1f%%\n", 100*r.HitRate(),
 		100*float64(r.Confirmed)/float64(max(r.PrefixTokens, 1)), 100*float64(r.Predicted)/float64(max(r.PrefixTokens, 1)))
 	fmt.Fprintf(out, "control bytes %d, between domains %d\n", r.Bytes, r.CrossBytes)
+	fmt.Fprintf(out, "gos that only a cut excuses: %d\n", r.Exempt)
 	for _, why := range sortedKeys(r.Whys) {
 		fmt.Fprintf(out, "denied because %s: %d\n", why, r.Whys[why])
 	}
@@ -104,6 +106,7 @@
 			r.collect()
 		}
 	}
+	w.Report.Exempt = w.Audit.Exempt
 	w.Report.Bytes, w.Report.CrossBytes, w.Report.Sent = w.Net.Bytes, w.Net.CrossBytes, w.Net.Sent
 }
 
