--- a/bid/market.go
+++ b/bid/market.go
@@ -189,11 +189,7 @@
 		r.eff = eff
 		r.share = m.share(now, r, eff)
 	}
-	n = r.share - r.Own
-	if cold > 0 {
-		n = min(n, r.share-r.coldStarts(now))
-	}
-	return n
+	return r.share - r.Own
 }
 
 func (m *Market) est(now time.Duration, a *Ask, rep, conf, pred int) (t time.Duration) {
--- a/bid/table.go
+++ b/bid/table.go
@@ -172,15 +172,6 @@
 	return 1 - float64(now-r.ColdAt)/float64(ramp)
 }
 
-func (r *Replica) coldStarts(now time.Duration) (n int) {
-	for _, t := range r.starts {
-		if now-t < time.Second {
-			n++
-		}
-	}
-	return n
-}
-
 const keptStarts = 4096
 
 func (r *Replica) began(now time.Duration) {
