--- a/bid/market.go
+++ b/bid/market.go
@@ -1,7 +1,6 @@
 package bid
 
 import (
-	"math"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/hint"
@@ -191,73 +190,3 @@
 	}
 	return r.share - r.Own
 }
-
-func (m *Market) est(now time.Duration, a *Ask, rep, conf, pred int) (t time.Duration) {
-	r := &m.Reps[rep]
-	o := &m.Offers[r.Offer]
-	uncached := float64(a.Tail+hint.Tokens(a.Parts)) - float64(conf) - m.cfg.PredWeight*float64(pred)
-	t = o.Base + time.Duration(uncached*float64(o.PerToken))
-	return time.Duration(float64(t) * r.factor * (1 + r.fullness()) * (1 + r.coldness(now, o.ColdRamp)))
-}
-
-const hopeless = 1e3
-
-type choice struct {
-	rep, conf, pred int
-	est             time.Duration
-	cost            float64
-}
-
-func (m *Market) best(now time.Duration, a *Ask) (c choice, any bool) {
-	o := &m.Offers[a.Offer]
-	c = choice{rep: -1, cost: math.Inf(1), est: time.Duration(math.MaxInt64)}
-	if m.cfg.RoundRobin {
-		return m.next(now, a, o)
-	}
-	home := m.home(a, o)
-	m.N.Visited += uint64(len(o.Reps))
-	for _, id := range o.Reps {
-		r := &m.Reps[id]
-		if !r.fit(now) || (o.Split && r.Role == "prefill") {
-			continue
-		}
-		any = true
-		conf, pred := m.Index.Look(now, id, a.Parts)
-		est := m.est(now, a, id, conf, pred)
-		if m.free(now, id) <= 0 {
-			continue
-		}
-		cost := float64(est)/float64(o.Kinds[a.Kind].Bound) + 0.5*r.fullness()
-		if !r.Near {
-			cost += o.CrossCost
-		}
-		if id == home {
-			unheld := hint.Tokens(a.Parts) - conf - pred
-			cost -= m.cfg.Home * float64(unheld) * float64(o.PerToken) / float64(o.Kinds[a.Kind].Bound)
-		}
-		if now+est > a.Deadline {
-			cost += hopeless
-		}
-		if cost < c.cost {
-			c = choice{rep: id, conf: conf, pred: pred, est: est, cost: cost}
-		}
-	}
-	return c, any
-}
-
-func (m *Market) next(now time.Duration, a *Ask, o *Offer) (c choice, any bool) {
-	c = choice{rep: -1}
-	for i := range o.Reps {
-		id := o.Reps[(m.turn+i)%len(o.Reps)]
-		if !m.Reps[id].fit(now) {
-			continue
-		}
-		any = true
-		if m.free(now, id) > 0 {
-			m.turn += i + 1
-			conf, pred := m.Index.Look(now, id, a.Parts)
-			return choice{rep: id, conf: conf, pred: pred, est: m.est(now, a, id, 0, 0)}, true
-		}
-	}
-	return c, any
-}
--- a/bid/match.go
+++ b/bid/match.go
@@ -34,7 +34,7 @@
 			m.place(now, id, a, c)
 			continue
 		}
-		if c.rep >= 0 && a.Gos == 0 {
+		if c.rep >= 0 && a.Gos == 0 && a.At == now {
 			m.deny(now, id, "cannot start in time", time.Second)
 			continue
 		}
@@ -47,6 +47,9 @@
 			wait = time.Duration(float64(wait) * m.cfg.Doubt)
 		}
 		least := o.Base + time.Duration(a.Tail)*o.PerToken
+		if a.At == now && any {
+			least = max(least, c.least)
+		}
 		switch {
 		case now+least+wait > a.Deadline && any:
 			m.deny(now, id, "backlog is too long", wait)
