A replica that goes dark, or keeps no connections, is told apart from one that restarts

Cause: a node went on to believe its own open connection against the news that a replica had gone dark; its own look again failed and was dropped. A replica that shuts each connection after its answer would have been in doubt for ever; after three ends within a second the node looks every 5 s and relies on the news.

--- a/crux/duty.go
+++ b/crux/duty.go
@@ -186,9 +186,7 @@
 
 func (n *Node) probed(now time.Duration, p Probed) {
 	if p.Own {
-		if p.OK {
-			n.sighted(now, Sighted{State: Up, Probed: p})
-		}
+		n.sighted(now, Sighted{State: map[bool]SightState{true: Up, false: Shut}[p.OK], Probed: p})
 		return
 	}
 	w := n.duties.reps[p.Replica]
--- a/hearth/watch.go
+++ b/hearth/watch.go
@@ -17,6 +17,9 @@
 const (
 	lookAgain = 100 * time.Millisecond
 	lookFor   = 500 * time.Millisecond
+	kept      = time.Second
+	nap       = 5 * time.Second
+	hasty     = 3
 )
 
 // An eye keeps one idle connection to a replica: when the replica's process ends, the connection tells it at once.
@@ -24,6 +27,7 @@
 	h          *Hearth
 	name, addr string
 	stop       chan struct{}
+	ends       int
 }
 
 func (h *Hearth) watch() (err error) {
@@ -72,7 +76,7 @@
 		case <-wait.C:
 		}
 		e.look()
-		wait.Reset(lookAgain)
+		wait.Reset(map[bool]time.Duration{true: nap, false: lookAgain}[e.ends >= hasty])
 	}
 }
 
@@ -107,7 +111,19 @@
 	if p, ok := e.ask(conn, r); ok {
 		e.tell(crux.Up, p)
 		_ = conn.SetDeadline(time.Time{})
+		from := time.Now()
 		_, _ = r.ReadByte()
+		e.ended(time.Since(from) < kept)
+	}
+}
+
+// ended tells that the connection was shut, unless this replica keeps none and shuts each at once.
+func (e *eye) ended(soon bool) {
+	e.ends++
+	if !soon {
+		e.ends = 0
+	}
+	if e.ends < hasty {
 		e.tell(crux.Shut, crux.Probed{})
 	}
 }
--- /dev/null
+++ b/hearth/watch_test.go
@@ -0,0 +1,86 @@
+package hearth
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gopkg.in/tomb.v2"
+
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+func watched(t *testing.T, addr string) (in chan crux.In) {
+	tb := &tomb.Tomb{}
+	h := &Hearth{T: tb, in: make(chan crux.In)}
+	e := &eye{h: h, name: "r", addr: addr, stop: make(chan struct{})}
+	tb.Go(e.run)
+	t.Cleanup(func() {
+		tb.Kill(nil)
+		if err := tb.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return h.in
+}
+
+func serveUsage(t *testing.T, lis net.Listener, instance string, keep bool) (srv *httptest.Server) {
+	srv = &httptest.Server{Listener: lis, Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(`{"instanceId":"` + instance + `","running":1,"leaving":false,"lagMs":0}`))
+	})}}
+	srv.Config.SetKeepAlivesEnabled(keep)
+	srv.Start()
+	return srv
+}
+
+func next(t *testing.T, in chan crux.In, want crux.SightState, instance string) {
+	t.Helper()
+	s := (<-in).(crux.Sighted)
+	if s.State != want || s.InstanceID != instance || s.Replica != "r" {
+		t.Fatalf("saw %+v, not state %d of %q", s, want, instance)
+	}
+}
+
+func TestARestartIsSeenByTheConnectionThatEnds(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := lis.Addr().String()
+	srv := serveUsage(t, lis, "i1", true)
+	in := watched(t, addr)
+	next(t, in, crux.Up, "i1")
+	srv.CloseClientConnections()
+	srv.Listener.Close()
+	next(t, in, crux.Shut, "")
+	next(t, in, crux.Down, "")
+	if lis, err = net.Listen("tcp", addr); err != nil {
+		t.Fatal(err)
+	}
+	second := serveUsage(t, lis, "i2", true)
+	defer second.Close()
+	s := (<-in).(crux.Sighted)
+	for s.State == crux.Down {
+		s = (<-in).(crux.Sighted)
+	}
+	if s.State != crux.Up || s.InstanceID != "i2" {
+		t.Errorf("saw %+v after the restart", s)
+	}
+}
+
+func TestAReplicaThatKeepsNoConnectionsIsNotDoubtedForEver(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := serveUsage(t, lis, "i1", false)
+	defer srv.Close()
+	in := watched(t, lis.Addr().String())
+	for range hasty - 1 {
+		next(t, in, crux.Up, "i1")
+		next(t, in, crux.Shut, "")
+	}
+	next(t, in, crux.Up, "i1")
+	next(t, in, crux.Up, "i1")
+}
