--- a/bid/course.go
+++ b/bid/course.go
@@ -28,7 +28,7 @@
 
 func (m *Market) Leave(now time.Duration, id int, goID uint64) {
 	a := m.current(id, goID)
-	if a == nil || a.Vouched || (a.State != Placed && a.State != Sent) {
+	if a == nil || (a.State != Placed && (a.State != Sent || a.settled(m))) {
 		m.do(Act{Kind: Recall, Ask: id, Go: goID, Rep: -1})
 		return
 	}
--- a/hearth/watch.go
+++ b/hearth/watch.go
@@ -28,6 +28,7 @@
 	name, addr string
 	stop       chan struct{}
 	ends       int
+	nap        time.Duration
 }
 
 func (h *Hearth) watch() (err error) {
@@ -57,7 +58,7 @@
 	}
 	for name, addr := range wanted {
 		if eyes[name] == nil {
-			e := &eye{h: h, name: name, addr: addr, stop: make(chan struct{})}
+			e := &eye{h: h, name: name, addr: addr, stop: make(chan struct{}), nap: nap}
 			eyes[name] = e
 			h.T.Go(e.run)
 		}
@@ -76,7 +77,7 @@
 		case <-wait.C:
 		}
 		e.look()
-		wait.Reset(map[bool]time.Duration{true: nap, false: lookAgain}[e.ends >= hasty])
+		wait.Reset(map[bool]time.Duration{true: e.nap, false: lookAgain}[e.ends >= hasty])
 	}
 }
 
--- a/muse/muse.go
+++ b/muse/muse.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"slices"
 	"sync/atomic"
@@ -119,6 +120,9 @@
 	count("slowest node obeys p95 ms", uint64(stage.Quantile(obeyed, 0.95)))
 	count("control KB", rp.Bytes/1024)
 	count("control KB between domains", rp.CrossBytes/1024)
+	for _, kind := range slices.Sorted(maps.Keys(w.Net.CrossKind)) {
+		count("  of it "+kind, w.Net.CrossKind[kind]/1024)
+	}
 	count("stream KB between domains", rp.StreamCross/1024)
 	rate("control bytes per node and second", float64(rp.Bytes)/w.S.Lasts.Seconds()/float64(len(w.Nodes)))
 	rate("rows visited per event", float64(rp.Visited)/float64(max(rp.Steps, 1)))
--- a/stage/net.go
+++ b/stage/net.go
@@ -25,13 +25,13 @@
 	Sent       uint64
 	Bytes      uint64
 	CrossBytes uint64
-	ByKind     map[string]uint64
+	CrossKind  map[string]uint64
 }
 
 func newNet(seed uint64) (n *Net) {
 	return &Net{
 		rng: rand.New(rand.NewPCG(seed, 29)), links: map[[2]string]*link{}, Near: 300 * time.Microsecond, Far: 3 * time.Millisecond,
-		Jitter: 2 * time.Millisecond, cuts: map[int]func(from, to string) bool{}, ByKind: map[string]uint64{},
+		Jitter: 2 * time.Millisecond, cuts: map[int]func(from, to string) bool{}, CrossKind: map[string]uint64{},
 	}
 }
 
@@ -83,9 +83,9 @@
 	same, size := n.copy(from, to, msg)
 	n.Sent++
 	n.Bytes += uint64(size)
-	n.ByKind[kind] += uint64(size)
 	if !near {
 		n.CrossBytes += uint64(size)
+		n.CrossKind[kind] += uint64(size)
 	}
 	if n.blocked(from, to) || n.rng.Float64() < n.Loss {
 		return nil, nil
