--- a/cmd/mallowbridge/daemon.go
+++ b/cmd/mallowbridge/daemon.go
@@ -83,10 +83,15 @@
 func serve(s hearth.Settings) (err error) {
 	lg := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
 	lg.Context = log.NewContext(nil).Str("node", s.Name).Value()
+	lis, err := net.Listen("tcp", s.HTTP)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
 	t := &tomb.Tomb{}
 	h, err := hearth.Start(t, s, lg)
 	if err != nil {
 		t.Kill(nil)
+		_ = lis.Close()
 		return err
 	}
 	g := gate.New(h.Desk, func(request string, spare time.Duration) (how mallowbridge.How) {
@@ -102,11 +107,6 @@
 	}}
 	routes := bunrouter.New()
 	ops.Routes(routes)
-	lis, err := net.Listen("tcp", s.HTTP)
-	if err != nil {
-		t.Kill(nil)
-		return trace.ConvertSystemError(err)
-	}
 	srv := &http.Server{
 		Handler: routes, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10,
 	}
