Look less often for replicas that are down; news that one is back wake the look

Cause: each node dialled each replica that is down ten times a second; a configuration of thousands that are not there yet would cost thousands of dials a second and node.

--- a/crux/msg.go
+++ b/crux/msg.go
@@ -163,6 +163,7 @@
 	Answers []Answer
 	Events  []mallowbridge.Event
 	Probes  []Probe
+	Looks   []string
 	Changes []Change
 }
 
--- a/crux/watch.go
+++ b/crux/watch.go
@@ -75,6 +75,10 @@
 	}
 	same := !r.Down && s.instance == r.InstanceID
 	if s.state != Up {
+		if !r.Down && now-s.asked > askAnew {
+			s.asked = now
+			n.out.Looks = append(n.out.Looks, r.Replica)
+		}
 		return !same || now-s.at > hearsay
 	}
 	if same {
--- a/hearth/hearth.go
+++ b/hearth/hearth.go
@@ -36,6 +36,7 @@
 	joins  chan *follower
 	leaves chan *follower
 	pics   chan *charter.Picture
+	looks  chan string
 	valve  *valve
 	node   *crux.Node
 	keeper *crux.Keeper
@@ -69,7 +70,7 @@
 	boot := strconv.FormatUint(seed(), 36)
 	h = &Hearth{
 		S: s, T: t, Log: lg, in: make(chan crux.In, 1024), calls: make(chan call, 64), writes: make(chan []crux.Write, crux.MaxHeld),
-		joins: make(chan *follower), leaves: make(chan *follower), pics: make(chan *charter.Picture, 1), boot: boot,
+		joins: make(chan *follower), leaves: make(chan *follower), pics: make(chan *charter.Picture, 1), looks: make(chan string, 64), boot: boot,
 	}
 	h.Front = s.Name + "." + h.boot
 	cfg := crux.Config{
@@ -172,27 +173,12 @@
 			return nil
 		})
 	}
+	h.wake(out.Looks)
 	for _, c := range out.Changes {
 		h.Log.Info().Str("what", c.What).Str("detail", c.Detail).Msg("change")
 	}
 }
 
-func (h *Hearth) tell(ev mallowbridge.Event) {
-	select {
-	case h.valve.in <- ev:
-	case <-h.T.Dying():
-	}
-}
-
-// picture leaves the newest for the watchers and never waits for them.
-func (h *Hearth) picture(p *charter.Picture) {
-	select {
-	case <-h.pics:
-	default:
-	}
-	h.pics <- p
-}
-
 func (h *Hearth) keep() (err error) {
 	for {
 		select {
--- a/hearth/valve.go
+++ b/hearth/valve.go
@@ -81,3 +81,10 @@
 	}
 	return ""
 }
+
+func (h *Hearth) tell(ev mallowbridge.Event) {
+	select {
+	case h.valve.in <- ev:
+	case <-h.T.Dying():
+	}
+}
--- a/hearth/watch.go
+++ b/hearth/watch.go
@@ -18,7 +18,7 @@
 	lookAgain = 100 * time.Millisecond
 	lookFor   = 500 * time.Millisecond
 	kept      = time.Second
-	nap       = 5 * time.Second
+	lookMost  = 5 * time.Second
 	hasty     = 3
 )
 
@@ -27,8 +27,14 @@
 	h          *Hearth
 	name, addr string
 	stop       chan struct{}
+	poke       chan struct{}
 	ends       int
 	nap        time.Duration
+	most       time.Duration
+}
+
+func (h *Hearth) eye(name, addr string, most time.Duration) (e *eye) {
+	return &eye{h: h, name: name, addr: addr, stop: make(chan struct{}), poke: make(chan struct{}, 1), nap: lookAgain, most: most}
 }
 
 func (h *Hearth) watch() (err error) {
@@ -39,6 +45,31 @@
 			return nil
 		case p := <-h.pics:
 			h.watchAll(eyes, p)
+		case name := <-h.looks:
+			if e := eyes[name]; e != nil {
+				select {
+				case e.poke <- struct{}{}:
+				default:
+				}
+			}
+		}
+	}
+}
+
+// picture leaves the newest for the watchers and never waits for them.
+func (h *Hearth) picture(p *charter.Picture) {
+	select {
+	case <-h.pics:
+	default:
+	}
+	h.pics <- p
+}
+
+func (h *Hearth) wake(names []string) {
+	for _, name := range names {
+		select {
+		case h.looks <- name:
+		default:
 		}
 	}
 }
@@ -58,7 +89,7 @@
 	}
 	for name, addr := range wanted {
 		if eyes[name] == nil {
-			e := &eye{h: h, name: name, addr: addr, stop: make(chan struct{}), nap: nap}
+			e := h.eye(name, addr, lookMost)
 			eyes[name] = e
 			h.T.Go(e.run)
 		}
@@ -74,10 +105,13 @@
 			return nil
 		case <-e.stop:
 			return nil
+		case <-e.poke:
 		case <-wait.C:
 		}
-		e.look()
-		wait.Reset(map[bool]time.Duration{true: e.nap, false: lookAgain}[e.ends >= hasty])
+		if e.nap = min(2*e.nap, e.most); e.look() {
+			e.nap = lookAgain
+		}
+		wait.Reset(map[bool]time.Duration{true: e.most, false: e.nap}[e.ends >= hasty])
 	}
 }
 
@@ -90,13 +124,14 @@
 	}
 }
 
-func (e *eye) look() {
+// look looks once, and for as long as the replica keeps the connection. News that it is back wake who naps between looks.
+func (e *eye) look() (seen bool) {
 	conn, err := net.DialTimeout("tcp", e.addr, lookFor)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		e.tell(crux.Down, crux.Probed{})
 	}
 	if err != nil {
-		return
+		return false
 	}
 	done := make(chan struct{})
 	defer close(done)
@@ -109,13 +144,16 @@
 		_ = conn.Close()
 	}()
 	r := bufio.NewReader(conn)
-	if p, ok := e.ask(conn, r); ok {
-		e.tell(crux.Up, p)
-		_ = conn.SetDeadline(time.Time{})
-		from := time.Now()
-		_, _ = r.ReadByte()
-		e.ended(time.Since(from) < kept)
+	p, seen := e.ask(conn, r)
+	if !seen {
+		return false
 	}
+	e.tell(crux.Up, p)
+	_ = conn.SetDeadline(time.Time{})
+	from := time.Now()
+	_, _ = r.ReadByte()
+	e.ended(time.Since(from) < kept)
+	return true
 }
 
 // ended tells that the connection was shut, unless this replica keeps none and shuts each at once.
--- a/hearth/watch_test.go
+++ b/hearth/watch_test.go
@@ -14,7 +14,7 @@
 func watched(t *testing.T, addr string) (in chan crux.In) {
 	tb := &tomb.Tomb{}
 	h := &Hearth{T: tb, in: make(chan crux.In)}
-	e := &eye{h: h, name: "r", addr: addr, stop: make(chan struct{}), nap: lookAgain}
+	e := h.eye("r", addr, lookAgain)
 	tb.Go(e.run)
 	t.Cleanup(func() {
 		tb.Kill(nil)
--- a/stage/eyes.go
+++ b/stage/eyes.go
@@ -9,6 +9,7 @@
 
 const (
 	lookAgain = 100 * time.Millisecond
+	lookMost  = 5 * time.Second
 	alive     = 2 * time.Second
 )
 
@@ -24,58 +25,81 @@
 func (n *Node) watch(p *charter.Picture) {
 	for _, o := range p.Charter.Offers {
 		for _, c := range o.Replicas {
-			if r := n.w.byRep[c.Name]; r != nil && !n.eyes[c.Name] {
-				n.eyes[c.Name] = true
-				n.look(r, n.life)
+			if r := n.w.byRep[c.Name]; r != nil && n.eyes[c.Name] == nil {
+				n.eyes[c.Name] = &eye{n: n, r: r, life: n.life}
+				n.eyes[c.Name].look(lookAgain)
 			}
 		}
 	}
 }
 
-func (n *Node) look(r *Rep, life uint64) {
-	if n.life != life || !n.Alive {
-		return
-	}
-	w := n.w
+// An eye is one node's idle connection to one replica; turns tell its timers apart.
+type eye struct {
+	n    *Node
+	r    *Rep
+	life uint64
+	turn int
+	open bool
+}
+
+func (e *eye) after(d time.Duration, do func()) {
+	e.turn++
+	turn := e.turn
+	e.n.w.after(d, func() {
+		if e.turn == turn && e.n.life == e.life && e.n.Alive {
+			do()
+		}
+	})
+}
+
+func (e *eye) look(nap time.Duration) {
+	n, r := e.n, e.r
+	again := func() { e.look(min(2*nap, lookMost)) }
 	if n.cutFrom(r) || r.Dark {
-		w.after(dialFor, func() { n.look(r, life) })
+		e.after(dialFor+nap, again)
 		return
 	}
 	sight := crux.Sighted{State: crux.Down, Probed: crux.Probed{Replica: r.Name}}
 	if r.Up {
 		sight = crux.Sighted{State: crux.Up, Probed: r.report()}
-		lives := r.lives
-		w.after(lookAgain/20, func() { n.stare(r, lives, life) })
+		e.open = true
+		e.stare(r.lives)
 	} else {
-		w.after(lookAgain, func() { n.look(r, life) })
+		e.after(nap, again)
 	}
-	n.later(2*w.Net.delay(n.Domain == r.Domain), func() { n.step(sight) })
+	n.later(2*n.w.Net.delay(n.Domain == r.Domain), func() { n.step(sight) })
 }
 
 // stare notices when the replica of that life is gone: at once by its reset, and by keep-alive where a cut held that back.
-func (n *Node) stare(r *Rep, lives, life uint64) {
-	if n.life != life || !n.Alive {
-		return
-	}
-	gone := func() {
-		n.step(crux.Sighted{State: crux.Shut, Probed: crux.Probed{Replica: r.Name}})
-		n.look(r, life)
-	}
+func (e *eye) stare(lives uint64) {
+	n, r := e.n, e.r
+	e.turn++
 	if r.Up && r.lives == lives {
 		r.eyes = append(r.eyes, func() {
-			if n.cutFrom(r) {
-				n.w.after(alive, func() { n.stare(r, lives, life) })
-				return
+			if n.life == e.life && n.Alive {
+				e.gone()
 			}
-			n.later(n.w.Net.delay(n.Domain == r.Domain), gone)
 		})
-		return
 	}
+}
+
+func (e *eye) gone() {
+	n, r := e.n, e.r
 	if n.cutFrom(r) {
-		n.w.after(alive, func() { n.stare(r, lives, life) })
+		e.after(alive, e.gone)
 		return
 	}
-	n.later(n.w.Net.delay(n.Domain == r.Domain), gone)
+	e.open = false
+	n.later(n.w.Net.delay(n.Domain == r.Domain), func() {
+		n.step(crux.Sighted{State: crux.Shut, Probed: crux.Probed{Replica: r.Name}})
+		e.look(lookAgain)
+	})
+}
+
+func (e *eye) poke() {
+	if e != nil && !e.open {
+		e.look(lookAgain)
+	}
 }
 
 func (n *Node) probe(p crux.Probe) {
--- a/stage/node.go
+++ b/stage/node.go
@@ -35,7 +35,7 @@
 	saving bool
 	unsent []crux.Write
 	asks   map[string]*flight
-	eyes   map[string]bool
+	eyes   map[string]*eye
 	tick   func()
 }
 
@@ -74,7 +74,7 @@
 	}
 	w := n.w
 	w.lives++
-	n.eyes, n.shut, n.retire = map[string]bool{}, false, false
+	n.eyes, n.shut, n.retire = map[string]*eye{}, false, false
 	n.life, n.Alive, n.frozen, n.inbox, n.saving, n.unsent, n.keeper = w.lives, true, false, nil, false, nil, nil
 	boot := strconv.FormatUint(w.whim.Uint64(), 36)
 	cfg := crux.Config{
@@ -178,6 +178,9 @@
 	for _, p := range out.Probes {
 		n.probe(p)
 	}
+	for _, name := range out.Looks {
+		n.eyes[name].poke()
+	}
 	for _, c := range out.Changes {
 		w.Say("%s %s: %s", n.Name, c.What, c.Detail)
 		if w.trap != nil {
