--- a/bid/course.go
+++ b/bid/course.go
@@ -83,15 +83,12 @@
 	m.Index.Settle(a.Go)
 }
 
-func (m *Market) Head(now time.Duration, id int, goID uint64, proof bool) {
+func (m *Market) Head(now time.Duration, id int, goID uint64) {
 	a := m.current(id, goID)
 	if a == nil || a.Confirmed {
 		return
 	}
 	a.Confirmed = true
-	if !proof {
-		return
-	}
 	took, ok := m.Index.Confirm(now, m.keeper(a), a.Go)
 	if now <= a.Deadline {
 		m.N.FirstTokenOK++
@@ -128,7 +125,7 @@
 		return
 	}
 	if end == Whole {
-		m.Head(now, id, goID, true)
+		m.Head(now, id, goID)
 	}
 	m.finish(now, id, a, end)
 }
--- a/order.go
+++ b/order.go
@@ -76,7 +76,7 @@
 	}
 	s, row := &r.seats[id], &r.m.Reps[id]
 	if s.addr != "" && s.addr != c.Addr {
-		s.instance, s.own, row.Up = "", "", false
+		s.instance, row.Up = "", false
 		r.m.Index.Reset(id, 0)
 	}
 	s.addr = c.Addr
@@ -97,7 +97,7 @@
 	row.Leaving = e.State == "leaving" || e.State == "gone"
 	if e.State == "gone" {
 		row.Up = false
-		r.seats[id].instance, r.seats[id].own = "", ""
+		r.seats[id].instance = ""
 		r.m.Index.Reset(id, 0)
 	}
 	r.m.Retune(now)
@@ -116,12 +116,9 @@
 		}
 	}()
 	if e.Down {
-		row.Up, s.own = false, ""
+		row.Up = false
 		return
 	}
-	if e.Own {
-		s.own = e.InstanceID
-	}
 	back := !row.Up && s.instance != ""
 	if e.InstanceID != s.instance {
 		r.instance(now, id, e.InstanceID, e.Age, 0)
--- a/router.go
+++ b/router.go
@@ -25,7 +25,6 @@
 type seat struct {
 	name, addr, instance string
 	listing              string
-	own                  string
 }
 
 type Router struct {
@@ -102,7 +101,7 @@
 		r.usage(now, e)
 	case Doubt:
 		if id, ok := r.reps[e.Replica]; ok {
-			r.m.Reps[id].Doubt, r.seats[id].own = now, ""
+			r.m.Reps[id].Doubt = now
 		}
 	case Routers:
 		r.m.SetRouters(now, e.rows(r.cfg.Domain))
@@ -222,22 +221,16 @@
 	return ""
 }
 
-// head takes an answer's first line. It proves nothing when it names another instance than the one this node sees there.
 func (r *Router) head(now time.Duration, e Head) {
 	id, ok := r.asks[e.Request]
 	if !ok {
 		return
 	}
-	proof := true
 	if rep := r.m.Rep(id); rep >= 0 && e.InstanceID != "" {
-		if own := r.seats[rep].own; own != "" && own != e.InstanceID {
-			r.m.Reps[rep].Doubt, proof = now, false
-		} else {
-			g, _ := r.goSeq(e.Go)
-			r.instance(now, rep, e.InstanceID, 0, g)
-		}
+		g, _ := r.goSeq(e.Go)
+		r.instance(now, rep, e.InstanceID, 0, g)
 	}
-	r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Head(now, id, g, proof) })
+	r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Head(now, id, g) })
 }
 
 func (r *Router) render(now time.Duration, acts []bid.Act) (out []Decision) {
