--- /dev/null
+++ b/arrive.go
@@ -0,0 +1,72 @@
+package mallowbridge
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/bid"
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+func (r *Router) arrive(now time.Duration, e Arrive) (d Decision, answered bool) {
+	deny := func(why string, repeat bool) (Decision, bool) {
+		return Decision{Verdict: Deny, Request: e.Request, Why: why, After: time.Second, Repeat: repeat}, true
+	}
+	bad := func(why string) (Decision, bool) {
+		return Decision{Verdict: Deny, Request: e.Request, Why: why, Bad: true}, true
+	}
+	if r.pic == nil {
+		return deny("no picture yet", false)
+	}
+	if _, twice := r.asks[e.Request]; twice {
+		return deny(runsHere, true)
+	}
+	offer, ok := r.offers[e.Offer]
+	if !ok {
+		return bad("no such offer")
+	}
+	kind, ok := r.kinds[offer][e.Kind]
+	o := &r.m.Offers[offer]
+	if !ok || o.Kinds[kind].Gone {
+		return bad("no such kind")
+	}
+	if !o.Kinds[kind].Repeatable && r.once.had(now, e.Request) {
+		return deny(hadOne, true)
+	}
+	parts, err := hint.Parse(r.model(e.Offer), e.Prefix)
+	if err != nil {
+		return bad(err.Error())
+	}
+	id := r.m.Arrive(now, bid.Ask{Offer: offer, Kind: kind, Parts: parts, Tail: e.Tail})
+	r.asks[e.Request], r.names[id] = id, e.Request
+	return d, false
+}
+
+const (
+	hadOne   = "request had its one go"
+	runsHere = "request is already running here"
+)
+
+// Had tells why a request that is sent again must not be denied as not run, or nothing.
+func (r *Router) Had(offer, kind, request string) (why string) {
+	if _, twice := r.asks[request]; twice {
+		return runsHere
+	}
+	o, known := r.offers[offer]
+	if !known {
+		return ""
+	}
+	k, known := r.kinds[o][kind]
+	if _, had := r.once.at[request]; had && known && !r.m.Offers[o].Kinds[k].Repeatable {
+		return hadOne
+	}
+	return ""
+}
+
+func (r *Router) model(offer string) (model string) {
+	for i := range r.pic.Charter.Offers {
+		if r.pic.Charter.Offers[i].Name == offer {
+			return r.pic.Charter.Offers[i].Model
+		}
+	}
+	return ""
+}
