--- a/cmd/mallowbridge/main_test.go
+++ b/cmd/mallowbridge/main_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -19,13 +20,12 @@
 }
 
 func TestScripts(t *testing.T) {
-	next := 0
+	var next atomic.Int64
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
 		Setup: func(e *testscript.Env) (err error) {
 			for i := range 10 {
-				next++
-				e.Setenv("P"+strconv.Itoa(i), own(next))
+				e.Setenv("P"+strconv.Itoa(i), own(int(next.Add(1))))
 			}
 			return nil
 		},
