--- a/bid/course.go
+++ b/bid/course.go
@@ -37,7 +37,8 @@
 	vouched := a.State == Sent
 	r.restart(a.Began, now)
 	a.Began = now
-	if m.stalled(now) == "" && r.fit(now) && m.free(now, a.Rep) >= 0 && !o.Kinds[a.Kind].Gone && (vouched || !a.Second || o.second.spend()) {
+	sound := m.stalled(now) == "" && r.fit(now) && m.free(now, a.Rep) >= 0 && !o.Kinds[a.Kind].Gone
+	if sound && (vouched || !a.Second || o.second.spend()) {
 		a.State, a.Sent, a.Vouched = Sent, now, vouched
 		if !vouched {
 			m.paid(a, o)
@@ -49,7 +50,7 @@
 	m.do(Act{Kind: Recall, Ask: id, Go: goID, Rep: a.Rep})
 	m.release(now, a)
 	a.MayRan = a.MayRan || vouched
-	if !vouched && a.Second && r.fit(now) {
+	if sound {
 		m.N.SecondsSpared++
 		o.Spared++
 		m.deny(now, id, "second goes are spent", 2*time.Second)
