Ask the witnesses when a wait begins, too: a repeat that waits runs no second time

Ruled out: the set of witnesses (the same for both), the quorum. Now a request that has to wait is asked for at once, without being remembered. One that is placed at once costs nothing more.

--- a/bid/bid_test.go
+++ b/bid/bid_test.go
@@ -103,7 +103,7 @@
 	m.Leave(now, first, p.Go)
 	only(t, m.Tick(now), Send)
 	slow, fast := m.Arrive(now, Ask{Kind: 0}), m.Arrive(now, Ask{Kind: 1})
-	only(t, m.Tick(now))
+	only(t, m.Tick(now), Peek, Peek)
 	m.Finish(now, first, p.Go, Whole)
 	acts := m.Tick(now)
 	if a := only(t, acts, Done, Place); a.Ask != fast || a.Ask == slow {
@@ -199,3 +199,24 @@
 		t.Errorf("%d of 8 after a report of the same instance", n)
 	}
 }
+
+func TestAskedElsewhereBeforeIsWithheldUntilItLeft(t *testing.T) {
+	m := market(1, once)
+	first, second := m.Arrive(now, Ask{}), 0
+	p := only(t, m.Tick(now), Place)
+	m.Leave(now, first, p.Go)
+	only(t, m.Tick(now), Send)
+	m.Withhold(now, first)
+	if acts := m.Tick(now); len(acts) > 0 {
+		t.Errorf("withheld after it was sent: %+v", acts)
+	}
+	for i := range m.Reps {
+		m.Reps[i].Own = m.Reps[i].share
+	}
+	second = m.Arrive(now, Ask{})
+	only(t, m.Tick(now), Peek)
+	m.Withhold(now, second)
+	if d := only(t, m.Tick(now), Deny); !d.Repeat || len(m.waiting) > 0 {
+		t.Errorf("%+v, %d wait", d, len(m.waiting))
+	}
+}
--- a/bid/course.go
+++ b/bid/course.go
@@ -1,6 +1,7 @@
 package bid
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/hint"
@@ -131,18 +132,28 @@
 	m.finish(now, id, a, end)
 }
 
+// Withhold ends a request that another router was asked for before, as long as it did not leave here.
+func (m *Market) Withhold(now time.Duration, id int) {
+	a := m.Asks.get(id)
+	if a == nil || a.State > Placed {
+		return
+	}
+	if a.State == Placed {
+		m.do(Act{Kind: Recall, Ask: id, Go: a.Go, Rep: a.Rep})
+		m.release(now, a)
+	}
+	m.waiting = slices.DeleteFunc(m.waiting, func(w int) bool { return w == id })
+	m.do(Act{Kind: Deny, Ask: id, Rep: -1, Why: "request had its one go", Repeat: true})
+	m.Asks.drop(id)
+}
+
 func (m *Market) Hangup(now time.Duration, id int) {
 	a := m.Asks.get(id)
 	if a == nil {
 		return
 	}
 	if a.State == Waiting {
-		for i, w := range m.waiting {
-			if w == id {
-				m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
-				break
-			}
-		}
+		m.waiting = slices.DeleteFunc(m.waiting, func(w int) bool { return w == id })
 		m.Asks.drop(id)
 		return
 	}
--- a/bid/market.go
+++ b/bid/market.go
@@ -37,6 +37,7 @@
 	Unknown
 	Partial
 	Done
+	Peek
 )
 
 type Act struct {
--- a/bid/match.go
+++ b/bid/match.go
@@ -59,6 +59,10 @@
 			m.deny(now, id, "backlog is full", wait)
 		default:
 			kept = append(kept, id)
+			if !a.Peeked && !o.Kinds[a.Kind].Repeatable {
+				a.Peeked = true
+				m.do(Act{Kind: Peek, Ask: id, Rep: -1})
+			}
 		}
 	}
 	m.waiting = kept
--- a/bid/table.go
+++ b/bid/table.go
@@ -32,6 +32,7 @@
 	MayRan    bool
 	Vouched   bool
 	Paid      bool
+	Peeked    bool
 	Began     time.Duration
 	Sent      time.Duration
 	Confirmed bool
--- a/cmd/mallowbridge/daemon.go
+++ b/cmd/mallowbridge/daemon.go
@@ -94,8 +94,8 @@
 		_ = lis.Close()
 		return err
 	}
-	g := gate.New(h.Desk, func(request string, spare time.Duration) (how mallowbridge.How) {
-		return crux.Vouch(h.Call(crux.Witness{Request: request, Spare: spare}))
+	g := gate.New(h.Desk, func(request string, spare time.Duration, peek bool) (how mallowbridge.How) {
+		return crux.Vouch(h.Call(crux.Witness{Request: request, Spare: spare, Peek: peek}))
 	}, gate.Bounds(s.MaxBody, s.MaxStreams))
 	g.Front = h.Front
 	ops := &gate.Ops{C: h, G: g, Clock: hearth.Clock, Extra: func() map[string]uint64 {
--- a/crux/msg.go
+++ b/crux/msg.go
@@ -42,6 +42,7 @@
 	Rid     uint64
 	Request string
 	By      string
+	Peek    bool
 }
 
 type WitnessSay struct {
@@ -118,6 +119,7 @@
 type Witness struct {
 	Request string
 	Spare   time.Duration
+	Peek    bool
 }
 
 type Libs struct{ N int }
--- a/crux/witness.go
+++ b/crux/witness.go
@@ -79,6 +79,9 @@
 		w.line = w.line[1:]
 	}
 	s, ok := w.seen[m.Request]
+	if m.Peek {
+		return WitnessSay{Rid: m.Rid, First: !ok || s.by == m.By, Young: now-w.born < witnessFor}
+	}
 	if !ok {
 		w.line = append(w.line, m.Request)
 		s = seen{by: m.By, at: now}
@@ -101,7 +104,7 @@
 
 func (w *witness) ask(now time.Duration, n *Node, id uint64, op Witness) {
 	w.rid++
-	a := &asking{answer: id, born: now, msg: WitnessAsk{Rid: w.rid, Request: op.Request, By: n.prop.By}, wait: min(max(op.Spare, witnessWait), witnessLast)}
+	a := &asking{answer: id, born: now, msg: WitnessAsk{Rid: w.rid, Request: op.Request, By: n.prop.By, Peek: op.Peek}, wait: min(max(op.Spare, witnessWait), witnessLast)}
 	for _, m := range n.witnesses(op.Request) {
 		a.all = append(a.all, m.Addr)
 		if m.Live() {
@@ -161,7 +164,7 @@
 func (w *witness) close(n *Node, a *asking, v Verdict) {
 	delete(w.asks, a.msg.Rid)
 	n.out.Answers = append(n.out.Answers, Answer{ID: a.answer, Verdict: v})
-	if v != TooFew {
+	if v != TooFew || a.msg.Peek {
 		return
 	}
 	for _, addr := range a.all {
--- a/crux/witness_test.go
+++ b/crux/witness_test.go
@@ -55,9 +55,14 @@
 }
 
 func (f *fleet) ask(at, request string) (how mallowbridge.How, took time.Duration) {
+	return f.order(at, Witness{Request: request})
+}
+
+func (f *fleet) order(at string, op Witness) (how mallowbridge.How, took time.Duration) {
+	request := op.Request
 	f.asked++
 	id, from := f.asked, f.now
-	f.carry(at, f.nodes[at].Step(f.now, Command{ID: id, Op: Witness{Request: request}}))
+	f.carry(at, f.nodes[at].Step(f.now, Command{ID: id, Op: op}))
 	for ; f.now-from < 3*time.Second; f.now += 10 * time.Millisecond {
 		if a, ok := f.said[id]; ok {
 			return Vouch(a), f.now - from
@@ -83,6 +88,15 @@
 	if how, _ := f.ask("n7", "q1"); how != mallowbridge.Withheld {
 		t.Errorf("another router: %q", how)
 	}
+	if how, _ := f.order("n7", Witness{Request: "q1", Peek: true}); how != mallowbridge.Withheld {
+		t.Errorf("another router that peeks: %q", how)
+	}
+	if how, _ := f.order("n7", Witness{Request: "q0", Peek: true}); how != "" {
+		t.Errorf("peeking for a new request: %q", how)
+	}
+	if how, _ := f.ask("n3", "q0"); how != "" {
+		t.Errorf("peeking was remembered: %q", how)
+	}
 	set := f.nodes["n0"].witnesses("q2")
 	for _, m := range set[:2] {
 		f.mute[m.Name] = true
--- a/events.go
+++ b/events.go
@@ -76,6 +76,11 @@
 	Request string `json:"request"`
 }
 
+// Withhold tells that the request was asked for at another router before.
+type Withhold struct {
+	Request string `json:"request"`
+}
+
 type Tick struct{}
 
 type How string
@@ -89,20 +94,21 @@
 	Unvouched How = "unvouched"
 )
 
-func (Arrive) event()  {}
-func (Order) event()   {}
-func (Listing) event() {}
-func (Usage) event()   {}
-func (Routers) event() {}
-func (Doubt) event()   {}
-func (Welcome) event() {}
-func (Feed) event()    {}
-func (Leave) event()   {}
-func (Head) event()    {}
-func (Piece) event()   {}
-func (End) event()     {}
-func (Hangup) event()  {}
-func (Tick) event()    {}
+func (Arrive) event()   {}
+func (Order) event()    {}
+func (Listing) event()  {}
+func (Usage) event()    {}
+func (Routers) event()  {}
+func (Doubt) event()    {}
+func (Welcome) event()  {}
+func (Feed) event()     {}
+func (Leave) event()    {}
+func (Head) event()     {}
+func (Piece) event()    {}
+func (End) event()      {}
+func (Hangup) event()   {}
+func (Withhold) event() {}
+func (Tick) event()     {}
 
 type Verdict string
 
@@ -115,6 +121,7 @@
 	Unknown Verdict = "unknown"
 	Partial Verdict = "partial"
 	Done    Verdict = "done"
+	Peek    Verdict = "peek"
 )
 
 type Decision struct {
--- a/gate/chain.go
+++ b/gate/chain.go
@@ -14,7 +14,7 @@
 )
 
 // Witness tells how a go ends before it began, or nothing when it may leave.
-type Witness func(request string, spare time.Duration) (how mallowbridge.How)
+type Witness func(request string, spare time.Duration, peek bool) (how mallowbridge.How)
 
 type Limits struct {
 	MaxBody, MaxStreams int
--- a/gate/course.go
+++ b/gate/course.go
@@ -69,7 +69,7 @@
 				c.give(mallowbridge.Lost{Go: c.place.Go})
 				return
 			}
-			if !c.give(mallowbridge.Vouched{Go: c.place.Go, How: c.g.witness(c.x.request, c.place.Spare)}) {
+			if !c.give(mallowbridge.Vouched{Go: c.place.Go, How: c.g.witness(c.x.request, c.place.Spare, false)}) {
 				return
 			}
 		case <-c.quit:
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -69,7 +69,7 @@
 		r.desk.Tell(ev)
 	}
 	r.later(3 * time.Second)
-	r.gate = gate.New(r.desk, func(string, time.Duration) mallowbridge.How {
+	r.gate = gate.New(r.desk, func(string, time.Duration, bool) mallowbridge.How {
 		return map[bool]mallowbridge.How{true: "", false: mallowbridge.Withheld}[first]
 	}, gate.Bounds(4096, 2))
 	r.gate.Front = "n1.b"
--- a/gate/trade.go
+++ b/gate/trade.go
@@ -16,6 +16,7 @@
 	passage mallowbridge.Passage
 	course  *course
 	began   bool
+	peeked  chan mallowbridge.How
 	enc     *json.Encoder
 	ctl     *http.ResponseController
 }
@@ -26,6 +27,7 @@
 	})
 	t := &trade{
 		g: g, x: x, passage: mallowbridge.Passage{Request: x.request}, enc: json.NewEncoder(x.w), ctl: http.NewResponseController(x.w),
+		peeked: make(chan mallowbridge.How, 1),
 	}
 	defer t.drop()
 	defer func() { _ = t.ctl.SetWriteDeadline(time.Time{}) }()
@@ -44,6 +46,8 @@
 				d = mallowbridge.Decision{Verdict: mallowbridge.Unknown, Why: "node is stopping"}
 			}
 			final = t.do(t.passage.Decided(d))
+		case how := <-t.peeked:
+			final = t.do(t.passage.Happened(mallowbridge.Vouched{How: how}))
 		case s := <-steps:
 			final = t.do(t.passage.Happened(s))
 		}
@@ -65,6 +69,8 @@
 			t.course = t.g.start(t.x, m.Place)
 		case mallowbridge.Vouch, mallowbridge.Write:
 			t.course.orders <- m.Kind
+		case mallowbridge.Glance:
+			go func() { t.peeked <- t.g.witness(t.x.request, 0, true) }()
 		case mallowbridge.Drop:
 			t.drop()
 		case mallowbridge.Tell:
--- a/passage.go
+++ b/passage.go
@@ -12,6 +12,7 @@
 	Tell
 	Pass
 	Close
+	Glance
 )
 
 type Move struct {
@@ -119,6 +120,8 @@
 		}
 	case Recall, Cancel:
 		p.drop()
+	case Peek:
+		p.do(Move{Kind: Glance})
 	case Done:
 		p.close(d, OutDone)
 	default:
@@ -181,6 +184,8 @@
 // witnessed asks for leave once more: the witnesses took their time, and the machine may have been frozen meanwhile.
 func (p *Passage) witnessed(e Vouched) {
 	switch {
+	case e.Go == "" && e.How == Withheld:
+		p.do(Move{Kind: Tell, Event: Withhold{Request: p.Request}})
 	case !p.is(e.Go) || p.vouched:
 	case e.How == "":
 		p.vouched = true
--- a/router.go
+++ b/router.go
@@ -120,6 +120,10 @@
 		r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Begin(id, g) })
 	case End:
 		r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Finish(now, id, g, ends[e.How]) })
+	case Withhold:
+		if id, ok := r.asks[e.Request]; ok {
+			r.m.Withhold(now, id)
+		}
 	case Hangup:
 		if id, ok := r.asks[e.Request]; ok {
 			r.m.Hangup(now, id)
@@ -200,7 +204,7 @@
 
 var verdicts = map[bid.ActKind]Verdict{
 	bid.Place: Place, bid.Send: Send, bid.Recall: Recall, bid.Deny: Deny, bid.Cancel: Cancel,
-	bid.Unknown: Unknown, bid.Partial: Partial, bid.Done: Done,
+	bid.Unknown: Unknown, bid.Partial: Partial, bid.Done: Done, bid.Peek: Peek,
 }
 
 func (r *Router) forget(id int) {
--- a/stage/gate.go
+++ b/stage/gate.go
@@ -128,6 +128,8 @@
 			f.dial(m.Place)
 		case mallowbridge.Vouch:
 			f.vouch(f.conn)
+		case mallowbridge.Glance:
+			f.glance()
 		case mallowbridge.Write:
 			f.gos++
 			f.w.Audit.sent(f, f.conn)
@@ -189,6 +191,16 @@
 	f.n.later(2*w.Net.delay(f.n.Domain == r.Domain), func() { c.happened(mallowbridge.Dialed{Go: d.Go, OK: r.Up}) })
 }
 
+func (f *flight) glance() {
+	f.w.Call(f.n, crux.Witness{Request: f.ask.Request, Peek: true}, func(a crux.Answer) {
+		f.n.live(func() {
+			if !f.over && f.n.asks[f.ask.Request] == f {
+				f.do(f.passage.Happened(mallowbridge.Vouched{How: crux.Vouch(a)}))
+			}
+		})
+	})
+}
+
 func (f *flight) vouch(c *conn) {
 	f.w.Call(f.n, crux.Witness{Request: f.ask.Request, Spare: c.place.Spare}, func(a crux.Answer) {
 		c.happened(mallowbridge.Vouched{Go: c.place.Go, How: crux.Vouch(a)})
