Drop what nothing calls; one word for a request that had its go; sorted keys by what there is

Reread of the whole change: the proposer's count of its backlog and drain's server had no caller left, one denial's reason stood three times, two loops sorted keys by hand. Behaviour stays.

--- a/arrive.go
+++ b/arrive.go
@@ -30,7 +30,7 @@
 		return bad("no such kind")
 	}
 	if !o.Kinds[kind].Repeatable && r.once.had(now, e.Request) {
-		return deny(hadOne, true)
+		return deny(bid.HadOne, true)
 	}
 	parts, err := hint.Parse(r.model(e.Offer), e.Prefix)
 	if err != nil {
@@ -41,10 +41,7 @@
 	return d, false
 }
 
-const (
-	hadOne   = "request had its one go"
-	runsHere = "request is already running here"
-)
+const runsHere = "request is already running here"
 
 // Had tells why a request that is sent again must not be denied as not run, or nothing.
 func (r *Router) Had(offer, kind, request string) (why string) {
@@ -57,7 +54,7 @@
 	}
 	k, known := r.kinds[o][kind]
 	if _, had := r.once.at[request]; had && known && !r.m.Offers[o].Kinds[k].Repeatable {
-		return hadOne
+		return bid.HadOne
 	}
 	return ""
 }
--- a/bid/course.go
+++ b/bid/course.go
@@ -7,6 +7,9 @@
 	"github.com/mallowbridge/mallowbridge/hint"
 )
 
+// HadOne is why a request that may not be repeated is not run again.
+const HadOne = "request had its one go"
+
 type End uint8
 
 const (
@@ -143,7 +146,7 @@
 		m.release(now, a)
 	}
 	m.waiting = slices.DeleteFunc(m.waiting, func(w int) bool { return w == id })
-	m.do(Act{Kind: Deny, Ask: id, Rep: -1, Why: "request had its one go", Repeat: true})
+	m.do(Act{Kind: Deny, Ask: id, Rep: -1, Why: HadOne, Repeat: true})
 	m.Asks.drop(id)
 }
 
@@ -178,7 +181,7 @@
 		m.Asks.drop(id)
 		return
 	case Withheld:
-		m.do(Act{Kind: Deny, Ask: id, Go: goID, Rep: rep, Why: "request had its one go", Repeat: true})
+		m.do(Act{Kind: Deny, Ask: id, Go: goID, Rep: rep, Why: HadOne, Repeat: true})
 		m.Asks.drop(id)
 		return
 	case Unvouched:
--- a/cmd/mallowbridge/daemon.go
+++ b/cmd/mallowbridge/daemon.go
@@ -117,7 +117,7 @@
 	select {
 	case <-stop:
 		lg.Info().Msg("draining")
-		drain(h, g, srv, stop, time.Duration(s.DrainMs)*time.Millisecond)
+		drain(h, g, stop, time.Duration(s.DrainMs)*time.Millisecond)
 	case <-t.Dying():
 	}
 	t.Kill(nil)
@@ -141,7 +141,7 @@
 
 // drain has agents sent elsewhere first, then lets no more in, sends what was let in, gives up claims and room, and waits
 // for the streams.
-func drain(h *hearth.Hearth, g *gate.Gate, srv *http.Server, again chan os.Signal, most time.Duration) {
+func drain(h *hearth.Hearth, g *gate.Gate, again chan os.Signal, most time.Duration) {
 	g.Retire()
 	end := time.After(most)
 	tick := time.NewTicker(20 * time.Millisecond)
--- a/kin/overdue.go
+++ b/kin/overdue.go
@@ -1,17 +1,13 @@
 package kin
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
 func (k *Kin) overdue(now time.Duration, all []Member) (sends []Send) {
-	var seqs []uint64
-	for seq := range k.probes {
-		seqs = append(seqs, seq)
-	}
-	slices.Sort(seqs)
-	for _, seq := range seqs {
+	for _, seq := range slices.Sorted(maps.Keys(k.probes)) {
 		p := k.probes[seq]
 		m := k.Table.rows[p.target]
 		if !p.helped && now-p.sent >= k.cfg.Direct {
--- a/pact/proposer.go
+++ b/pact/proposer.go
@@ -91,15 +91,6 @@
 	}
 }
 
-func (p *Proposer) Busy() (n int) { return len(p.backlog) + btoi(p.cur != nil) }
-
-func btoi(b bool) (n int) {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 func (p *Proposer) Do(now, deadline time.Duration, id uint64, change Change, full bool) {
 	p.backlog = append(p.backlog, &task{id: id, change: change, deadline: deadline, full: full})
 	p.turn(now)
--- a/stage/disk.go
+++ b/stage/disk.go
@@ -101,12 +101,7 @@
 }
 
 func (d *Disk) PowerCut() {
-	var names []string
-	for name := range d.files {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range sortedKeys(d.files) {
 		f := d.files[name]
 		if !f.named && d.rng.IntN(2) == 0 {
 			delete(d.files, name)
--- a/term/term_test.go
+++ b/term/term_test.go
@@ -12,9 +12,8 @@
 const ms = time.Millisecond
 
 type post struct {
-	at  time.Duration
-	do  func()
-	seq int
+	at time.Duration
+	do func()
 }
 
 // A rig plays one duty, several holders whose views of the voters lag, and granters that restart, on clocks that drift.
