--- a/charter/charter.go
+++ b/charter/charter.go
@@ -34,13 +34,58 @@
 	PerToken    time.Duration
 	KeepTokens  int
 	CrossCost   float64
+
+	// Discovered: the replicas come from the platform's list (Roster), none stand in the document.
+	Discovered bool
+	// Queues: replicas queue what is beyond their room and tell their load, so room is not divided among routers.
+	Queues   bool
+	Health   string
+	MaxConns int
+	// ColdRate is how many requests a second a cold replica bears from all routers together; 0: no bound.
+	ColdRate float64
+	ColdFor  time.Duration
+	// Stride is how many tokens a piece of a stream may hold; 0 where replicas do not batch.
+	Stride int
+}
+
+// Split sends a part of a route's requests to an offer.
+type Split struct {
+	Offer  string
+	Weight float64
+}
+
+// A Route takes requests by host and longest path prefix to offers.
+type Route struct {
+	Name, Host, Prefix string
+	Split              []Split
+	// Streaming answers are series of events; Resumable ones may be taken up at another replica after the last event id.
+	Streaming, Repeatable, Resumable bool
+	// Timeout bounds a request as a whole, FirstToken is the aim for its answer or first event, Gap for each later one (0: none).
+	Timeout, FirstToken, Gap time.Duration
+	// Attempts is the most replicas that one request may be sent to.
+	Attempts int
+	// Rank 0 goes first.
+	Rank int
+}
+
+// Limits bound what a user agent may send and how long it may take. Zero leaves the daemon's own bound.
+type Limits struct {
+	HeaderBytes, BodyBytes int
+	Header, Idle           time.Duration
 }
 
 type Charter struct {
 	Offers       []Offer
+	Routes       []Route
+	Limits       Limits
 	ReplaceVoter time.Duration
+	// Revision is the operators' own number for the document; 0 where they give none.
+	Revision uint64
 }
 
+// A Reader reads and checks an operators' document; Read is the product's own.
+type Reader func(raw []byte) (c Charter, err error)
+
 type Picture struct {
 	Mark    uint64
 	Charter Charter
--- a/events.go
+++ b/events.go
@@ -14,6 +14,16 @@
 	Kind    string `json:"kind"`
 	Prefix  string `json:"prefix"`
 	Tail    int    `json:"tail"`
+
+	// Host and Path choose a route where Offer is empty.
+	Host  string `json:"host,omitempty"`
+	Path  string `json:"path,omitempty"`
+	Model string `json:"model,omitempty"`
+	// Tokens is the whole prompt, Most the longest answer in tokens; 0: not told.
+	Tokens int `json:"tokens,omitempty"`
+	Most   int `json:"most,omitempty"`
+	// Patience is how long the user agent will wait; 0: not told.
+	Patience time.Duration `json:"patience,omitempty"`
 }
 
 type Order struct {
@@ -25,6 +35,35 @@
 	State   string `json:"state"`
 }
 
+// Instance is one life of a replica, as the platform lists it.
+type Instance struct {
+	ID, Offer, Addr, Domain string
+	Model                   string
+	// Weights is the revision of the model's weights; kept parts serve only the same one.
+	Weights string
+	Room    int
+	Leaving bool
+	// Cold is how much longer it counts as cold, from the time of reading.
+	Cold time.Duration
+}
+
+// Roster is the platform's list of replicas, whole, as read Age ago. Instances that it leaves out are gone.
+type Roster struct {
+	Rows []Instance
+	Age  time.Duration
+}
+
+// Load is what a replica said of itself in an answer.
+type Load struct {
+	Replica                 string
+	Running, Waiting, Slots int
+}
+
+// Misplaced says that another instance answered at the replica's address and did not run the request.
+type Misplaced struct {
+	Replica string
+}
+
 type Usage struct {
 	Replica    string        `json:"replica"`
 	InstanceID string        `json:"instanceId"`
@@ -94,21 +133,24 @@
 	Unvouched How = "unvouched"
 )
 
-func (Arrive) event()   {}
-func (Order) event()    {}
-func (Listing) event()  {}
-func (Usage) event()    {}
-func (Routers) event()  {}
-func (Doubt) event()    {}
-func (Welcome) event()  {}
-func (Feed) event()     {}
-func (Leave) event()    {}
-func (Head) event()     {}
-func (Piece) event()    {}
-func (End) event()      {}
-func (Hangup) event()   {}
-func (Withhold) event() {}
-func (Tick) event()     {}
+func (Arrive) event()    {}
+func (Order) event()     {}
+func (Listing) event()   {}
+func (Usage) event()     {}
+func (Routers) event()   {}
+func (Doubt) event()     {}
+func (Welcome) event()   {}
+func (Feed) event()      {}
+func (Leave) event()     {}
+func (Head) event()      {}
+func (Piece) event()     {}
+func (End) event()       {}
+func (Hangup) event()    {}
+func (Withhold) event()  {}
+func (Tick) event()      {}
+func (Roster) event()    {}
+func (Load) event()      {}
+func (Misplaced) event() {}
 
 type Verdict string
 
@@ -140,4 +182,15 @@
 	Bad       bool          `json:"bad,omitempty"`
 	Once      bool          `json:"once,omitempty"`
 	Spare     time.Duration `json:"spare,omitempty"`
+
+	// Instance is the life of the replica that was chosen, where the platform lists it.
+	Instance string `json:"instance,omitempty"`
+	// Route is the route taken, nil for a request to /v1/offers. It is immutable.
+	Route *charter.Route `json:"-"`
+	// Conns is the most connections that this node may keep to the replica; 0: no bound.
+	Conns int `json:"conns,omitempty"`
+	// Until is when the request is given up, on the router's clock; 0: not bounded.
+	Until time.Duration `json:"until,omitempty"`
+	// Resumes tells that the replica is to go on after the last event passed on.
+	Resumes bool `json:"resumes,omitempty"`
 }
