Requests of any host and path go byte for byte to replicas over kept connections

Cause: the gate speaks /v1/offers with JSON lines and dials once an attempt; users' platforms send any request and price connections. Ruled out: http.Transport, which replays a request by itself; a reader goroutine an attempt, as a closed connection wakes the reader too. Change: package ferry: a state machine of one exchange (decisions and signals in, moves out), a pool with a look at the socket before reuse, answers held until whole, streams passed on by whole events and taken up after the last id, limits taken anew at accept. Names of headers come from outside.

--- /dev/null
+++ b/ferry/rig_test.go
@@ -0,0 +1,231 @@
+package ferry_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/ferry"
+)
+
+var names = ferry.Headers{
+	Attempt: "X-Attempt", Target: "X-Target", NotRun: "X-Not-Run", Load: "X-Load", Deadline: "X-Wait-Ms", Prefix: "X-Prefix",
+	Model: "X-Model", Tokens: "X-Tokens", Seal: "X-Seal", Instance: "X-Instance", Rank: "X-Rank",
+	ParseLoad: func(v string) (running, waiting, slots int, ok bool) {
+		n, err := fmt.Sscanf(v, "%d,%d,%d", &running, &waiting, &slots)
+		return running, waiting, slots, n == 3 && err == nil
+	},
+}
+
+// market answers each request with the next places, and what is left when they are spent.
+type market struct {
+	places  []mallowbridge.Decision
+	last    mallowbridge.Decision
+	events  chan mallowbridge.Event
+	arrived chan mallowbridge.Arrive
+	subs    chan map[string]*sub
+}
+
+type sub struct {
+	out    chan mallowbridge.Decision
+	places []mallowbridge.Decision
+	seq    int
+}
+
+func newMarket(last mallowbridge.Decision, places ...mallowbridge.Decision) (m *market) {
+	m = &market{
+		places: places, last: last, events: make(chan mallowbridge.Event, 1000), arrived: make(chan mallowbridge.Arrive, 100),
+		subs: make(chan map[string]*sub, 1),
+	}
+	m.subs <- map[string]*sub{}
+	return m
+}
+
+func (m *market) Submit(a mallowbridge.Arrive) (decisions <-chan mallowbridge.Decision) {
+	m.arrived <- a
+	s := &sub{out: make(chan mallowbridge.Decision, 64), places: m.places}
+	all := <-m.subs
+	all[a.Request] = s
+	m.next(s)
+	m.subs <- all
+	return s.out
+}
+
+func (m *market) next(s *sub) {
+	d := m.last
+	if len(s.places) > 0 {
+		d, s.places = s.places[0], s.places[1:]
+		s.seq++
+		d.Verdict, d.Go = mallowbridge.Place, fmt.Sprint("go", s.seq)
+	}
+	s.out <- d
+}
+
+func (m *market) Tell(ev mallowbridge.Event) {
+	m.events <- ev
+	all := <-m.subs
+	defer func() { m.subs <- all }()
+	switch e := ev.(type) {
+	case mallowbridge.Leave:
+		all[e.Request].out <- mallowbridge.Decision{Verdict: mallowbridge.Send, Go: e.Go}
+	case mallowbridge.End:
+		if e.How != mallowbridge.Whole {
+			m.next(all[e.Request])
+		}
+	}
+}
+
+// heard gives the kinds of the events so far.
+func (m *market) heard() (kinds string) {
+	var all []string
+	for {
+		select {
+		case ev := <-m.events:
+			kind := strings.TrimPrefix(fmt.Sprintf("%T", ev), "mallowbridge.")
+			if e, ok := ev.(mallowbridge.End); ok {
+				kind += "(" + string(e.How) + ")"
+			}
+			all = append(all, kind)
+		default:
+			return strings.Join(all, " ")
+		}
+	}
+}
+
+type got struct {
+	conn int
+	raw  string
+	req  *http.Request
+	body string
+}
+
+// replica answers the n-th request it gets with the n-th script; a script gives bytes and whether the connection ends after them.
+type replica struct {
+	addr string
+	got  chan got
+	conn chan struct{}
+}
+
+type script func(r got) (answer string, end bool)
+
+func newReplica(t *testing.T, scripts ...script) (r *replica) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	r = &replica{addr: lis.Addr().String(), got: make(chan got, 100), conn: make(chan struct{}, 100)}
+	left := make(chan []script, 1)
+	left <- scripts
+	go func() {
+		for n := 1; ; n++ {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			r.conn <- struct{}{}
+			go r.serve(c, n, left)
+		}
+	}()
+	return r
+}
+
+func (r *replica) serve(c net.Conn, n int, left chan []script) {
+	defer c.Close()
+	var raw bytes.Buffer
+	in := bufio.NewReader(io.TeeReader(c, &raw))
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		g := got{conn: n, raw: raw.String(), req: req, body: string(body)}
+		raw.Reset()
+		r.got <- g
+		todo := <-left
+		if len(todo) == 0 {
+			left <- todo
+			return
+		}
+		left <- todo[1:]
+		answer, end := todo[0](g)
+		if _, err = io.WriteString(c, answer); err != nil || end {
+			return
+		}
+	}
+}
+
+func (r *replica) place(route *charter.Route) (d mallowbridge.Decision) {
+	return mallowbridge.Decision{Addr: r.addr, Replica: r.addr, Instance: "i1", Route: route}
+}
+
+func say(status, extra, body string) (s script) {
+	return func(g got) (answer string, end bool) {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nX-Attempt: %s\r\nX-Seal: s1\r\n%sContent-Length: %d\r\n\r\n%s",
+			status, g.req.Header.Get("X-Attempt"), extra, len(body), body), false
+	}
+}
+
+// stream answers with events in chunks; whole ones end with the last chunk, others with the connection.
+func stream(whole bool, events ...string) (s script) {
+	return func(g got) (answer string, end bool) {
+		answer = "HTTP/1.1 200 OK\r\nX-Attempt: " + g.req.Header.Get("X-Attempt") +
+			"\r\nX-Seal: s-" + events[0][:5] + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+		for _, e := range events {
+			answer += fmt.Sprintf("%x\r\n%s\r\n", len(e), e)
+		}
+		if whole {
+			answer += "0\r\n\r\n"
+		}
+		return answer, !whole
+	}
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func serve(t *testing.T, m ferry.Market) (p *ferry.Proxy, url string) {
+	p = ferry.New(m, names, ferry.Defaults(), func() (l charter.Limits) { return charter.Limits{BodyBytes: 1000} }, "b1")
+	srv := httptest.NewServer(p)
+	t.Cleanup(srv.Close)
+	return p, srv.URL
+}
+
+func call(t *testing.T, url, id, body string) (r reply) {
+	t.Helper()
+	req, err := http.NewRequest("POST", url+"/a/b%2Fc?x=1%20y", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "Some.example:80"
+	req.Header.Set("X-Attempt", id)
+	req.Header.Set("X-Wait-Ms", "60000")
+	resp, err := (&http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}).Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+func want(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("%s is %q, not %q", what, fmt.Sprint(got), fmt.Sprint(want))
+	}
+}
