Found the register alone, seat voters, read the list by one, edit documents, mend full disks

Cause: the platform founds nothing by hand, loses and empties disks, tells replicas by a list that has a shared rate, and changes documents in place; a disk that was full once stayed out for good. Ruled out: a lease for reseating (the change is compared and set on the seat, two proposers cannot both win); every node reading the list (12 calls a second now, 88 when grown, over its rate); telling the list anew at each reading (96 bytes a replica and second to each node). Change: crux.foundAlone (seeds with disks, once all seeds are known), tend (emptied voters at once, lost ones after 2.5 s, up to twice the tolerated losses and one), listWork (duty, stepped fallback by rank), Edit, Saved.Mended with vault.Mend; wire build 2 as news of new kinds are held back from build 1.

--- a/crux/command.go
+++ b/crux/command.go
@@ -6,21 +6,26 @@
 	"strconv"
 	"time"
 
-	"github.com/mallowbridge/mallowbridge/charter"
 	"github.com/mallowbridge/mallowbridge/kin"
 	"github.com/mallowbridge/mallowbridge/pact"
 )
 
-const within = 4 * time.Second
+const (
+	within = 4 * time.Second
+	// soon is how long an edit is tried before its caller is better served by another node.
+	soon = 1500 * time.Millisecond
+)
 
 func (n *Node) command(now time.Duration, c Command) {
 	switch op := c.Op.(type) {
 	case Put:
-		if _, err := charter.Read(op.Body); err != nil {
+		if _, err := n.cfg.Read(op.Body); err != nil {
 			n.answer(c.ID, err)
 			return
 		}
 		n.ask(now, within, put(op), false, n.replyTo(c.ID, op.ID))
+	case Edit:
+		n.ask(now, soon, edit(op), false, n.replyTo(c.ID, op.ID))
 	case Get:
 		n.ask(now, within, nil, false, n.replyTo(c.ID, ""))
 	case Empty:
@@ -62,6 +67,22 @@
 	}
 }
 
+func edit(op Edit) (change pact.Change) {
+	return func(cur *pact.Value) (next *pact.Value, err error) {
+		if _, done := cur.Done(op.ID); done {
+			return nil, nil
+		}
+		body, err := op.Apply(cur.Body)
+		if err != nil {
+			return nil, err
+		}
+		cur.Mark++
+		cur.Body = body
+		cur.Note(op.ID)
+		return cur, nil
+	}
+}
+
 func empty(op Empty) (change pact.Change) {
 	return func(cur *pact.Value) (next *pact.Value, err error) {
 		if _, done := cur.Done(op.ID); done {
--- a/crux/duty.go
+++ b/crux/duty.go
@@ -90,6 +90,7 @@
 		n.probeDuty(now, d)
 	}
 	n.mend(now)
+	n.tend(now)
 }
 
 func (n *Node) probeDuty(now time.Duration, domain string) {
--- a/crux/join.go
+++ b/crux/join.go
@@ -102,6 +102,8 @@
 	switch {
 	case n.left:
 		return "draining"
+	case n.cfg.ServesCutOff && n.obeyed > 0:
+		return ""
 	case n.Kin.Alone(now):
 		return "heard by nobody"
 	case !n.joined:
--- a/crux/keeper.go
+++ b/crux/keeper.go
@@ -84,6 +84,15 @@
 	return k.v.Turn(raw)
 }
 
+// Mend writes the whole state anew after a failure.
+func (k *Keeper) Mend() (err error) {
+	raw, err := encode(k.kept)
+	if err != nil {
+		return err
+	}
+	return k.v.Mend(raw)
+}
+
 func (k *Keeper) apply(e entry) {
 	switch {
 	case e.Promised != nil:
--- /dev/null
+++ b/crux/lab_test.go
@@ -0,0 +1,164 @@
+package crux
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+type parcel struct {
+	at   time.Duration
+	from string
+	to   string
+	msg  any
+}
+
+// A lab runs whole nodes in one process: three domains, the first node of each with a disk and a seed.
+type lab struct {
+	t       *testing.T
+	now     time.Duration
+	nodes   map[string]*Node
+	order   []string
+	disks   map[string]string
+	down    map[string]bool
+	mail    []parcel
+	answers map[uint64]Answer
+	ids     uint64
+	list    []mallowbridge.Instance
+	listBad bool
+	lists   map[string]int
+	rosters map[string][]mallowbridge.Instance
+	changes []string
+}
+
+func newLab(t *testing.T, size int) (l *lab) {
+	l = &lab{t: t, nodes: map[string]*Node{}, disks: map[string]string{}, down: map[string]bool{}, answers: map[uint64]Answer{}, lists: map[string]int{}, rosters: map[string][]mallowbridge.Instance{}}
+	for i := range size {
+		name := fmt.Sprint("n", i)
+		l.order = append(l.order, name)
+		if i < 4 {
+			l.disks[name] = "disk-" + name
+		}
+	}
+	for _, name := range l.order {
+		l.boot(name, true)
+	}
+	return l
+}
+
+func (l *lab) boot(name string, first bool) {
+	var at int
+	fmt.Sscanf(name, "n%d", &at)
+	l.ids++
+	cfg := Config{
+		Name: name, Addr: name, Boot: fmt.Sprint(l.ids), Domain: fmt.Sprint(at % 3), Inc: l.ids << 20, Seed: l.ids, Seeds: []string{"n0", "n1", "n2"},
+		Kin: kin.Defaults(), Rumor: rumor.Defaults(), Read: anyDocument, ListEvery: time.Second, Tolerate: 1, Founds: first, ServesCutOff: true,
+	}
+	if id := l.disks[name]; id != "" {
+		cfg.Disk = &Kept{}
+		if old := l.nodes[name]; old != nil && old.voter.Disk == id {
+			cfg.Disk.Pact, cfg.Disk.Grants = old.voter.State, old.grants.Kept()
+		}
+		cfg.Disk.Pact.Disk = id
+	}
+	l.nodes[name] = New(l.now, cfg)
+	delete(l.down, name)
+}
+
+func anyDocument(raw []byte) (c charter.Charter, err error) {
+	return charter.Charter{Offers: []charter.Offer{{Name: "o", Discovered: true}}}, nil
+}
+
+func (l *lab) step(name string, in In) {
+	out := l.nodes[name].Step(l.now, in)
+	for _, s := range out.Sends {
+		l.mail = append(l.mail, parcel{at: l.now + time.Millisecond, from: name, to: s.To, msg: s.Msg})
+	}
+	if n := len(out.Writes); n > 0 {
+		l.mail = append(l.mail, parcel{at: l.now + 3*time.Millisecond, to: name, msg: Saved{Ticket: out.Writes[n-1].Ticket}})
+	}
+	if out.List {
+		l.lists[name]++
+		r := ListRead{Rows: l.list}
+		if l.listBad {
+			r = ListRead{Err: errors.New("list is down")}
+		}
+		l.mail = append(l.mail, parcel{at: l.now + 2*time.Millisecond, to: name, msg: r})
+	}
+	for _, ev := range out.Events {
+		if r, ok := ev.(mallowbridge.Roster); ok {
+			l.rosters[name] = r.Rows
+		}
+	}
+	for _, c := range out.Changes {
+		l.changes = append(l.changes, name+" "+c.What)
+	}
+	for _, a := range out.Answers {
+		l.answers[a.ID] = a
+	}
+}
+
+func (l *lab) run(d time.Duration) {
+	for until := l.now + d; l.now < until; l.now += time.Millisecond {
+		due := l.mail
+		l.mail = nil
+		for _, p := range due {
+			switch {
+			case p.at > l.now:
+				l.mail = append(l.mail, p)
+			case l.nodes[p.to] == nil || l.down[p.to] || l.down[p.from]:
+			default:
+				if in, own := p.msg.(In); own {
+					l.step(p.to, in)
+					continue
+				}
+				l.step(p.to, Recv{From: p.from, Msg: p.msg})
+			}
+		}
+		if l.now%(50*time.Millisecond) == 0 {
+			for _, name := range l.order {
+				if !l.down[name] {
+					l.step(name, Tick{})
+				}
+			}
+		}
+	}
+}
+
+func (l *lab) call(at string, op Op) (a Answer) {
+	l.ids++
+	id := l.ids
+	l.step(at, Command{ID: id, Op: op})
+	for range 6000 {
+		l.run(time.Millisecond)
+		if a, ok := l.answers[id]; ok {
+			return a
+		}
+	}
+	l.t.Fatalf("%s never answered %T", at, op)
+	return a
+}
+
+func (l *lab) write(at, text string) (a Answer) {
+	return l.call(at, Edit{ID: text, Apply: func([]byte) ([]byte, error) { return []byte(text), nil }})
+}
+
+func (l *lab) read(at string) (text string) {
+	a := l.call(at, Get{})
+	if a.Err != nil {
+		return a.Err.Error()
+	}
+	return string(a.Value.Body)
+}
+
+func (l *lab) wipe(name string) {
+	l.ids++
+	l.disks[name] = fmt.Sprint("disk-", name, "-", l.ids)
+	l.down[name] = true
+}
--- /dev/null
+++ b/crux/list.go
@@ -0,0 +1,123 @@
+package crux
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/bid"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+const (
+	rosterKey = "l"
+	readKey   = "lt"
+	listDuty  = "list"
+	// listPatience is how long news of a reading may stay away until a node reads for itself; each next in rank waits one step more.
+	listPatience = 1300 * time.Millisecond
+	listStep     = 200 * time.Millisecond
+	listStride   = 8
+)
+
+// Roster is the platform's list as one node read it. It is told anew only when it changes.
+type Roster struct{ Rows []mallowbridge.Instance }
+
+func (r Roster) Size() (bytes int)     { return 96 * len(r.Rows) }
+func (r Roster) Since() (build uint32) { return 2 }
+
+// Reading tells that the list was read and that the roster of that version is what it says.
+type Reading struct{ Version rumor.Mark }
+
+func (r Reading) Passing() (yes bool)   { return true }
+func (r Reading) Since() (build uint32) { return 2 }
+
+// ListRead is what a reading of the platform's list brought.
+type ListRead struct {
+	Rows []mallowbridge.Instance
+	Err  error
+}
+
+func (ListRead) in() {}
+
+type listing struct {
+	heard  time.Duration
+	asked  time.Duration
+	asking bool
+	told   rumor.Mark
+	fails  uint64
+	reads  uint64
+}
+
+// list has the platform's list read: by who holds the duty, and by each for itself who hears of no reading.
+func (n *Node) listWork(now time.Duration) {
+	if n.cfg.ListEvery == 0 || n.left {
+		return
+	}
+	l := &n.lists
+	if l.asking || now-l.asked < n.cfg.ListEvery {
+		return
+	}
+	held := false
+	if n.value != nil && n.joined && !n.Kin.Alone(now) {
+		if _, held = n.hold.Holds(now, listDuty); held || n.first(listDuty, "") {
+			n.toDisks(n.hold.Want(now, listDuty, n.value))
+		}
+	}
+	if !held && now-l.heard < listPatience+time.Duration(n.rank(listDuty))*listStep {
+		return
+	}
+	l.asking, l.asked = true, now
+	n.out.List = true
+}
+
+func (n *Node) rank(duty string) (place int) {
+	var names []string
+	for _, m := range n.Kin.Table.All() {
+		if m.Live() {
+			names = append(names, m.Name)
+		}
+	}
+	return min(slices.Index(bid.Nearest(duty, names), n.cfg.Name), listStride)
+}
+
+func (n *Node) listRead(now time.Duration, r ListRead) {
+	l := &n.lists
+	l.asking = false
+	if r.Err != nil {
+		l.fails++
+		return
+	}
+	l.reads, l.heard = l.reads+1, now
+	version := rumor.Mark{Lo: n.cfg.Seed}
+	it, ok := n.Rumor.Get(rosterKey)
+	if ok {
+		version.Hi = it.Mark.Hi
+	}
+	if !ok || !sameRoster(it.Data.(Roster).Rows, r.Rows) {
+		version.Hi++
+		n.Rumor.Put(rumor.Item{Key: rosterKey, Mark: version, Data: Roster{Rows: r.Rows}})
+		n.event(mallowbridge.Roster{Rows: r.Rows})
+	} else {
+		version = it.Mark
+	}
+	seq := rumor.Mark{Hi: 1, Lo: n.cfg.Seed}
+	if old, ok := n.Rumor.Get(readKey); ok {
+		seq.Hi = old.Mark.Hi + 1
+	}
+	n.Rumor.Put(rumor.Item{Key: readKey, Mark: seq, Data: Reading{Version: version}})
+}
+
+// sameRoster leaves out how long a replica stays cold, but not whether it is.
+func sameRoster(a, b []mallowbridge.Instance) (yes bool) {
+	return slices.EqualFunc(a, b, func(x, y mallowbridge.Instance) bool {
+		if (x.Cold > 0) != (y.Cold > 0) {
+			return false
+		}
+		x.Cold, y.Cold = 0, 0
+		return x == y
+	})
+}
+
+func (n *Node) onRoster(r Roster) { n.event(mallowbridge.Roster{Rows: r.Rows}) }
+
+func (n *Node) onReading(now time.Duration, r Reading) { n.lists.heard = now }
--- a/crux/msg.go
+++ b/crux/msg.go
@@ -17,7 +17,7 @@
 		"ta": term.Ask{}, "tg": term.Grant{}, "td": term.Drop{},
 		"kp": kin.Ping{}, "ka": kin.Ack{}, "kf": kin.PingFor{}, "km": kin.Member{},
 		"rn": rumor.News{}, "rs": rumor.Sum{}, "rm": rumor.Marks{}, "rw": rumor.Want{}, "rt": rumor.Tell{},
-		"cu": Usages{}, "cl": Listing{},
+		"cu": Usages{}, "cl": Listing{}, "cr": Roster{}, "ch": Reading{},
 		"ws": WitnessAsk{}, "wy": WitnessSay{}, "wf": WitnessForget{},
 	} {
 		gob.RegisterName(name, v)
@@ -65,6 +65,8 @@
 type Saved struct {
 	Ticket uint64
 	Err    error
+	// Mended tells that everything was written anew after a failure.
+	Mended bool
 }
 
 type Probed struct {
@@ -96,6 +98,12 @@
 	Body   []byte
 }
 
+// Edit changes the document by a function of the one in place, which may be called several times.
+type Edit struct {
+	ID    string
+	Apply func(body []byte) (next []byte, err error)
+}
+
 type Get struct{}
 
 type Empty struct {
@@ -127,6 +135,7 @@
 type Depart struct{}
 
 func (Put) op()     {}
+func (Edit) op()    {}
 func (Get) op()     {}
 func (Empty) op()   {}
 func (Found) op()   {}
@@ -166,6 +175,7 @@
 	Events  []mallowbridge.Event
 	Probes  []Probe
 	Looks   []string
+	List    bool
 	Changes []Change
 }
 
--- a/crux/news.go
+++ b/crux/news.go
@@ -44,6 +44,10 @@
 		n.onUsages(now, it.Mark, d)
 	case Listing:
 		n.onListing(now, it.Mark, d)
+	case Roster:
+		n.onRoster(d)
+	case Reading:
+		n.onReading(now, d)
 	}
 }
 
@@ -83,7 +87,7 @@
 	if !v.Newer(n.value) {
 		return
 	}
-	c, err := charter.Read(v.Body)
+	c, err := n.cfg.Read(v.Body)
 	if err != nil && len(v.Body) > 0 {
 		n.change("picture denied", err.Error())
 		return
--- a/crux/node.go
+++ b/crux/node.go
@@ -22,6 +22,17 @@
 	Disk                     *Kept
 	Kin                      kin.Config
 	Rumor                    rumor.Config
+
+	// Read reads and checks the operators' document; nil: charter.Read.
+	Read charter.Reader
+	// ListEvery is how often the platform's list of replicas is read; 0: there is none.
+	ListEvery time.Duration
+	// Tolerate is how many voters may be lost together; the fleet then seats voters by itself. 0: operators do.
+	Tolerate int
+	// Founds has the seeds found the register by themselves.
+	Founds bool
+	// ServesCutOff keeps a node serving by what it knows while it hears nobody.
+	ServesCutOff bool
 }
 
 type held struct {
@@ -67,6 +78,11 @@
 	ahead   time.Duration
 	reread  time.Duration
 
+	born     time.Duration
+	founding bool
+	foundAt  time.Duration
+	lists    listing
+
 	duties  duties
 	sights  map[string]*sight
 	told    map[string]told
@@ -74,11 +90,15 @@
 }
 
 func New(now time.Duration, cfg Config) (n *Node) {
+	if cfg.Read == nil {
+		cfg.Read = charter.Read
+	}
 	self := kin.Member{Name: cfg.Name, Addr: cfg.Addr, HTTP: cfg.HTTP, Domain: cfg.Domain, Inc: cfg.Inc, Build: max(cfg.Build, wire.Build)}
 	by := cfg.Name + "/" + cfg.Boot
 	n = &Node{
 		cfg: cfg, prop: pact.NewProposer(by, cfg.Seed), hold: term.NewHolder(by, cfg.Seed), Rumor: rumor.New(cfg.Rumor, cfg.Seed),
 		waiting: map[uint64]ending{}, met: map[string]bool{}, since: now, asked: -time.Hour, fedAt: -time.Hour,
+		born: now, foundAt: -time.Hour, lists: listing{heard: now, asked: -time.Hour},
 		duties: newDuties(), witness: newWitness(now), sights: map[string]*sight{}, told: map[string]told{},
 	}
 	if cfg.Disk != nil {
@@ -105,6 +125,8 @@
 		n.probed(now, i)
 	case Sighted:
 		n.sighted(now, i)
+	case ListRead:
+		n.listRead(now, i)
 	case Command:
 		n.command(now, i)
 	case Tick:
@@ -143,7 +165,9 @@
 	if n.Kin.Alone(now) {
 		n.wake(now, "heard by nobody")
 	}
+	n.foundAlone(now)
 	n.join(now)
+	n.listWork(now)
 	n.mind(now)
 	n.fitness(now)
 	n.work(now)
--- a/crux/register.go
+++ b/crux/register.go
@@ -86,6 +86,10 @@
 		n.unfit(now, true)
 		return
 	}
+	if n.broken != nil && s.Mended {
+		n.broken = nil
+		n.change("disk works again", "")
+	}
 	for len(n.held) > 0 && n.held[0].ticket <= s.Ticket {
 		n.send(n.held[0].send.To, n.held[0].send.Msg)
 		n.held = n.held[1:]
--- /dev/null
+++ b/crux/seed_test.go
@@ -0,0 +1,180 @@
+package crux
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+)
+
+func (l *lab) voters() (disks []string) {
+	for _, v := range l.nodes["n5"].Value().Voters {
+		disks = append(disks, v.Disk)
+	}
+	slices.Sort(disks)
+	return disks
+}
+
+func TestSeedsFoundTheRegisterOnce(t *testing.T) {
+	l := newLab(t, 8)
+	l.run(1500 * time.Millisecond)
+	if a := l.write("n7", "first"); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+	l.run(5 * time.Second)
+	fleets := map[string]bool{}
+	for _, name := range l.order {
+		v := l.nodes[name].Value()
+		if v == nil {
+			t.Fatalf("%s knows no register", name)
+		}
+		fleets[v.Fleet] = true
+		if got := l.read(name); got != "first" {
+			t.Errorf("%s reads %q", name, got)
+		}
+	}
+	if len(fleets) != 1 {
+		t.Errorf("%d registers were founded", len(fleets))
+	}
+}
+
+func TestFirstSeedIsDownWhenTheRegisterIsFounded(t *testing.T) {
+	l := newLab(t, 8)
+	l.run(200 * time.Millisecond)
+	l.down["n0"] = true
+	l.run(3 * time.Second)
+	l.boot("n0", true)
+	l.run(3 * time.Second)
+	if a := l.write("n6", "first"); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+}
+
+func TestNoSecondRegisterIsFoundedOnEmptyDisks(t *testing.T) {
+	l := newLab(t, 8)
+	l.run(2 * time.Second)
+	l.write("n7", "first")
+	l.wipe("n0")
+	l.run(time.Second)
+	l.boot("n0", false)
+	l.run(3 * time.Second)
+	if got := l.read("n0"); got != "first" {
+		t.Errorf("reads %q", got)
+	}
+}
+
+func TestEmptiedVotersAreMadeGoodBeforeTheNextLoss(t *testing.T) {
+	l := newLab(t, 8)
+	l.run(2 * time.Second)
+	for i, name := range []string{"n1", "n0", "n2", "n1", "n3"} {
+		text := strings.Repeat("x", i+1)
+		if a := l.write("n7", text); a.Err != nil {
+			t.Fatalf("round %d: %v", i, a.Err)
+		}
+		l.wipe(name)
+		l.run(900 * time.Millisecond)
+		l.boot(name, false)
+		l.run(4 * time.Second)
+		if got := l.read("n5"); got != text {
+			t.Fatalf("round %d: after %s came back empty, %q is read", i, name, got)
+		}
+		if !slices.Contains(l.voters(), l.disks[name]) && len(l.voters()) != 3 {
+			t.Fatalf("round %d: voters %v", i, l.voters())
+		}
+	}
+}
+
+func TestALostVoterIsReplacedByAnIdleDisk(t *testing.T) {
+	l := newLab(t, 8)
+	l.run(2 * time.Second)
+	l.write("n7", "x")
+	l.down["n1"] = true
+	l.run(8 * time.Second)
+	if vs := l.voters(); !slices.Equal(vs, []string{"disk-n0", "disk-n2", "disk-n3"}) {
+		t.Fatalf("voters %v", vs)
+	}
+	l.down["n0"] = true
+	if a := l.write("n7", "y"); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+}
+
+func TestAnEditThatFailsChangesNothing(t *testing.T) {
+	l := newLab(t, 6)
+	l.run(2 * time.Second)
+	l.write("n4", "x")
+	bad := errors.New("flawed")
+	if a := l.call("n5", Edit{ID: "e", Apply: func([]byte) ([]byte, error) { return nil, bad }}); !errors.Is(a.Err, bad) {
+		t.Fatalf("%v", a.Err)
+	}
+	if got := l.read("n4"); got != "x" {
+		t.Errorf("reads %q", got)
+	}
+}
+
+func TestTheListIsReadByOneAndKnownToAll(t *testing.T) {
+	l := newLab(t, 9)
+	l.list = []mallowbridge.Instance{{ID: "i1", Offer: "o"}}
+	l.run(3 * time.Second)
+	for name := range l.lists {
+		l.lists[name] = 0
+	}
+	l.list = []mallowbridge.Instance{{ID: "i1", Offer: "o", Leaving: true}}
+	l.run(1500 * time.Millisecond)
+	for _, name := range l.order {
+		if r := l.rosters[name]; len(r) != 1 || !r[0].Leaving {
+			t.Errorf("%s holds %v", name, r)
+		}
+	}
+	l.run(8500 * time.Millisecond)
+	sum, reader := 0, ""
+	for name, n := range l.lists {
+		sum += n
+		if n > 5 {
+			reader = name
+		}
+	}
+	if sum > 14 || reader == "" {
+		t.Errorf("%d readings in 10 s: %v", sum, l.lists)
+	}
+	l.down[reader] = true
+	l.list = nil
+	l.run(2200 * time.Millisecond)
+	for _, name := range l.order {
+		if r := l.rosters[name]; len(r) != 0 && !l.down[name] {
+			t.Errorf("%s holds %v, 2.2 s after its reader died", name, r)
+		}
+	}
+}
+
+func TestANodeWithoutNewsReadsTheListItself(t *testing.T) {
+	l := newLab(t, 9)
+	l.list = []mallowbridge.Instance{{ID: "i1", Offer: "o"}}
+	l.run(3 * time.Second)
+	for _, name := range l.order {
+		l.down[name] = name != "n8"
+	}
+	l.list = nil
+	l.run(4 * time.Second)
+	if len(l.rosters["n8"]) != 0 {
+		t.Error("a node that is alone keeps a replica that is gone")
+	}
+}
+
+func TestADiskThatWorksAgainVotesAgain(t *testing.T) {
+	l := newLab(t, 6)
+	l.run(2 * time.Second)
+	l.step("n0", Saved{Err: errors.New("no space left")})
+	if !l.nodes["n0"].Kin.Self.Unfit {
+		t.Fatal("a full disk votes on")
+	}
+	l.step("n0", Saved{Mended: true})
+	l.run(time.Second)
+	l.down["n1"] = true
+	if a := l.write("n5", "x"); a.Err != nil || l.nodes["n0"].Kin.Self.Unfit {
+		t.Fatal(a.Err)
+	}
+}
--- a/hearth/hearth.go
+++ b/hearth/hearth.go
@@ -22,6 +22,8 @@
 const (
 	ticks     = 50 * time.Millisecond
 	deskTicks = 10 * time.Millisecond
+	// cutOffFeed keeps the market open over a freeze, where serving by an old picture is allowed.
+	cutOffFeed = time.Minute
 )
 
 type Hearth struct {
@@ -76,6 +78,7 @@
 	cfg := crux.Config{
 		Name: s.Name, Addr: s.Listen, HTTP: s.HTTP, Domain: s.Domain, Seeds: s.Seeds, Boot: boot, Inc: crux.Inc(time.Now(), seed()), Seed: seed(),
 		Kin: kin.Defaults(), Rumor: rumor.Defaults(),
+		Read: s.Host.Read, ListEvery: s.Host.ListEvery, Tolerate: s.Host.Tolerate, Founds: s.Host.Founds, ServesCutOff: s.Host.ServesCutOff,
 	}
 	if s.Data != "" {
 		folder, err := vault.OpenFolder(s.Data)
@@ -93,6 +96,9 @@
 	}
 	rc := mallowbridge.Defaults(s.Name, h.boot, s.Domain)
 	rc.Market.Backlog = s.Backlog
+	if s.Host.ServesCutOff {
+		rc.Market.Feed = cutOffFeed
+	}
 	h.Desk = mallowbridge.NewDesk(t, mallowbridge.New(rc), Clock, deskTicks)
 	h.valve = newValve(t, h.Desk.Tell)
 	h.node = crux.New(Clock(), cfg)
@@ -173,32 +179,15 @@
 			return nil
 		})
 	}
+	if out.List {
+		h.T.Go(h.list)
+	}
 	h.wake(out.Looks)
 	for _, c := range out.Changes {
 		h.Log.Info().Str("what", c.What).Str("detail", c.Detail).Msg("change")
 	}
 }
 
-func (h *Hearth) keep() (err error) {
-	for {
-		select {
-		case <-h.T.Dying():
-			return nil
-		case ws := <-h.writes:
-			for more := true; more; {
-				select {
-				case next := <-h.writes:
-					ws = append(ws, next...)
-				default:
-					more = false
-				}
-			}
-			err := h.keeper.Save(ws)
-			h.give(crux.Saved{Ticket: ws[len(ws)-1].Ticket, Err: err})
-		}
-	}
-}
-
 func (h *Hearth) give(in crux.In) {
 	select {
 	case h.in <- in:
--- /dev/null
+++ b/hearth/keep.go
@@ -0,0 +1,45 @@
+package hearth
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+const mendEvery = 500 * time.Millisecond
+
+func (h *Hearth) list() (err error) {
+	rows, err := h.S.Host.List()
+	h.give(crux.ListRead{Rows: rows, Err: err})
+	return nil
+}
+
+func (h *Hearth) keep() (err error) {
+	var mend <-chan time.Time
+	for {
+		select {
+		case <-h.T.Dying():
+			return nil
+		case ws := <-h.writes:
+			for more := true; more; {
+				select {
+				case next := <-h.writes:
+					ws = append(ws, next...)
+				default:
+					more = false
+				}
+			}
+			err := h.keeper.Save(ws)
+			h.give(crux.Saved{Ticket: ws[len(ws)-1].Ticket, Err: err})
+			if err != nil {
+				mend = time.After(mendEvery)
+			}
+		case <-mend:
+			mend = time.After(mendEvery)
+			if h.keeper.Mend() == nil {
+				mend = nil
+				h.give(crux.Saved{Mended: true})
+			}
+		}
+	}
+}
--- a/hearth/settings.go
+++ b/hearth/settings.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/gravitational/trace"
 
+	"github.com/mallowbridge/mallowbridge"
 	"github.com/mallowbridge/mallowbridge/charter"
 )
 
@@ -15,6 +17,19 @@
 	Seeds                                  []string
 	MaxBody, MaxStreams, Backlog           int
 	DrainMs                                int
+	Host                                   Host
+}
+
+// Host is what the platform that the daemon runs on brings or wants; its zero value is the product on its own.
+type Host struct {
+	// Read reads the operators' document; nil: charter.Read.
+	Read charter.Reader
+	// List reads the platform's list of replicas every ListEvery; nil: there is none.
+	List      func() (rows []mallowbridge.Instance, err error)
+	ListEvery time.Duration
+	// Tolerate, Founds and ServesCutOff: see crux.Config.
+	Tolerate             int
+	Founds, ServesCutOff bool
 }
 
 func (s Settings) withDefaults() (full Settings) {
--- a/hearth/valve.go
+++ b/hearth/valve.go
@@ -74,6 +74,8 @@
 		return "2" + e.Replica
 	case mallowbridge.Listing:
 		return "3" + e.Replica
+	case mallowbridge.Roster:
+		return "1r"
 	case mallowbridge.Feed:
 		return "4"
 	case mallowbridge.Doubt:
--- a/stage/builds.go
+++ b/stage/builds.go
@@ -5,17 +5,18 @@
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/rumor"
+	"github.com/mallowbridge/mallowbridge/wire"
 )
 
 // Novelty is news of a kind that the next build knows and this one does not.
 type Novelty struct{ Text string }
 
-func (Novelty) Since() (build uint32) { return 2 }
+func (Novelty) Since() (build uint32) { return wire.Build + 1 }
 
 func init() { gob.RegisterName("xx", Novelty{}) }
 
 func (n *Node) novel() {
-	if n.build < 2 || n.w.now/time.Second == (n.w.now-tickEvery)/time.Second {
+	if n.build <= wire.Build || n.w.now/time.Second == (n.w.now-tickEvery)/time.Second {
 		return
 	}
 	n.node.Rumor.Put(rumor.Item{Key: "x/" + n.Name, Mark: rumor.Mark{Hi: uint64(n.w.now)}, Data: Novelty{Text: n.Name}})
@@ -23,7 +24,7 @@
 
 // foreign tells whether this node's build would fail to read the message, and lose its connection by it.
 func (n *Node) foreign(msg any) (yes bool) {
-	if n.build >= 2 {
+	if n.build > wire.Build {
 		return false
 	}
 	news, ok := msg.(rumor.News)
--- a/stage/node.go
+++ b/stage/node.go
@@ -9,6 +9,7 @@
 	"github.com/mallowbridge/mallowbridge/crux"
 	"github.com/mallowbridge/mallowbridge/kin"
 	"github.com/mallowbridge/mallowbridge/rumor"
+	"github.com/mallowbridge/mallowbridge/wire"
 )
 
 type Node struct {
@@ -46,7 +47,7 @@
 		wall: time.Duration(w.whim.Int64N(int64(10 * time.Second))), asks: map[string]*flight{},
 	}
 	if w.S.Builds && i%2 == 0 {
-		n.build = 2
+		n.build = wire.Build + 1
 	}
 	if s.Disk {
 		n.Disk = NewDisk(w.S.Seed*100 + uint64(i))
--- /dev/null
+++ b/vault/mend_test.go
@@ -0,0 +1,36 @@
+package vault_test
+
+import (
+	"testing"
+
+	"github.com/mallowbridge/mallowbridge/stage"
+)
+
+func TestAFullDiskIsMendedWhole(t *testing.T) {
+	for seed := range uint64(20) {
+		d := stage.NewDisk(seed)
+		v, _, err := load(d)
+		if err != nil || v.Turn([]byte("a")) != nil || v.Add([][]byte{[]byte("b")}) != nil {
+			t.Fatal(err)
+		}
+		d.Full = true
+		if v.Add([][]byte{[]byte("c")}) == nil || v.Mend([]byte("a b c")) == nil {
+			t.Fatal("a full disk took a write")
+		}
+		d.Full = false
+		if v.Add([][]byte{[]byte("d")}) == nil {
+			t.Fatal("a write was taken before the vault was mended")
+		}
+		if err = v.Mend([]byte("a b c")); err != nil {
+			t.Fatal(err)
+		}
+		if err = v.Add([][]byte{[]byte("d")}); err != nil {
+			t.Fatal(err)
+		}
+		d.PowerCut()
+		_, all, err := load(d)
+		if err != nil || len(all) != 4 {
+			t.Fatalf("seed %d: %v, %v", seed, all, err)
+		}
+	}
+}
--- a/vault/write.go
+++ b/vault/write.go
@@ -47,6 +47,12 @@
 	return nil
 }
 
+// Mend forgets an earlier failure and writes everything anew, so that nothing depends on what that failure left behind.
+func (v *Vault) Mend(slot []byte) (err error) {
+	v.broken = nil
+	return v.Turn(slot)
+}
+
 func (v *Vault) Turn(slot []byte) (err error) {
 	if v.broken != nil {
 		return v.broken
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	Build    = 1
+	Build    = 2
 	MaxFrame = 4 << 20
 )
 
