--- a/arrive.go
+++ b/arrive.go
@@ -20,11 +20,14 @@
 	if _, twice := r.asks[e.Request]; twice {
 		return deny(runsHere, true)
 	}
+	if e.Offer == "" {
+		return r.arriveRouted(now, e)
+	}
 	offer, ok := r.offers[e.Offer]
 	if !ok {
 		return bad("no such offer")
 	}
-	kind, ok := r.kinds[offer][e.Kind]
+	kind, ok := r.kinds[offer][kindKey{name: e.Kind}]
 	o := &r.m.Offers[offer]
 	if !ok || o.Kinds[kind].Gone {
 		return bad("no such kind")
@@ -36,8 +39,8 @@
 	if err != nil {
 		return bad(err.Error())
 	}
-	id := r.m.Arrive(now, bid.Ask{Offer: offer, Kind: kind, Parts: parts, Tail: e.Tail})
-	r.asks[e.Request], r.names[id] = id, e.Request
+	id := r.m.Arrive(now, bid.Ask{Offer: offer, Kind: kind, Parts: parts, Tail: e.tail(parts), Patience: e.Patience})
+	r.asks[e.Request], r.names[id] = id, asked{request: e.Request}
 	return d, false
 }
 
@@ -52,7 +55,7 @@
 	if !known {
 		return ""
 	}
-	k, known := r.kinds[o][kind]
+	k, known := r.kinds[o][kindKey{name: kind}]
 	if _, had := r.once.at[request]; had && known && !r.m.Offers[o].Kinds[k].Repeatable {
 		return bid.HadOne
 	}
--- a/bid/choose.go
+++ b/bid/choose.go
@@ -12,7 +12,11 @@
 	o := &m.Offers[r.Offer]
 	uncached := float64(a.Tail+hint.Tokens(a.Parts)) - float64(conf) - m.cfg.PredWeight*float64(pred)
 	t = o.Base + time.Duration(uncached*float64(o.PerToken))
-	return time.Duration(float64(t) * r.factor * (1 + r.fullness()) * (1 + r.coldness(now, o.ColdRamp)))
+	t = time.Duration(float64(t) * r.factor * (1 + m.fullness(now, rep)) * (1 + r.coldness(now, o.ColdRamp)))
+	if r.cold(now) {
+		t *= 2
+	}
+	return t
 }
 
 const hopeless = 1e3
@@ -21,6 +25,7 @@
 	rep, conf, pred int
 	est, least      time.Duration
 	cost            float64
+	forced          bool
 }
 
 func (m *Market) best(now time.Duration, a *Ask) (c choice, any bool) {
@@ -43,7 +48,7 @@
 		if m.free(now, id) <= 0 {
 			continue
 		}
-		cost := float64(est)/float64(o.Kinds[a.Kind].Bound) + 0.5*r.fullness()
+		cost := float64(est)/float64(o.Kinds[a.Kind].Bound) + 0.5*m.fullness(now, id)
 		if !r.Near {
 			cost += o.CrossCost
 		}
@@ -51,7 +56,7 @@
 			unheld := hint.Tokens(a.Parts) - conf - pred
 			cost -= m.cfg.Home * float64(unheld) * float64(o.PerToken) / float64(o.Kinds[a.Kind].Bound)
 		}
-		if now+est > a.Deadline {
+		if now+est > a.Due {
 			cost += hopeless
 		}
 		if cost < c.cost {
--- a/bid/course.go
+++ b/bid/course.go
@@ -1,7 +1,6 @@
 package bid
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/hint"
@@ -41,9 +40,15 @@
 	vouched := a.State == Sent
 	r.restart(a.Began, now)
 	a.Began = now
-	sound := m.stalled(now) == "" && r.fit(now) && m.free(now, a.Rep) >= 0 && !o.Kinds[a.Kind].Gone
+	k := &o.Kinds[a.Kind]
+	if k.routed() {
+		a.Second = a.Sends > 0
+	}
+	sound := m.stalled(now) == "" && m.mayLeave(now, a) && !k.Gone
 	if sound && (vouched || !a.Second || o.second.spend()) {
 		a.State, a.Sent, a.Vouched = Sent, now, vouched
+		a.Sends++
+		m.sent(now, a.Rep)
 		if !vouched {
 			m.paid(a, o)
 		}
@@ -79,7 +84,7 @@
 }
 
 func (m *Market) again(id int, a *Ask) {
-	a.State, a.Rep, a.Prefill, a.Go, a.Vouched = Waiting, -1, -1, 0, false
+	a.State, a.Rep, a.Prefill, a.Go, a.Vouched, a.Forced = Waiting, -1, -1, 0, false, false
 	m.waiting = append(m.waiting, id)
 }
 
@@ -95,7 +100,7 @@
 	}
 	a.Confirmed = true
 	took, ok := m.Index.Confirm(now, m.keeper(a), a.Go)
-	if now <= a.Deadline {
+	if now <= a.Due && !a.Resume {
 		m.N.FirstTokenOK++
 	}
 	r := &m.Reps[a.Rep]
@@ -116,131 +121,10 @@
 	o := &m.Offers[a.Offer]
 	miss := o.Base + time.Duration(a.Tail+hint.Tokens(a.Parts))*o.PerToken
 	hit := miss - time.Duration(a.Conf)*o.PerToken
-	if a.Conf > 0 && a.Pred == 0 && hit < miss/2 && float64(took) > 0.8*float64(miss)*r.factor && float64(took) > 1.5*float64(a.Est) {
+	if a.Conf > 0 && a.Pred == 0 && !(o.Queues && r.crowded()) && hit < miss/2 && float64(took) > 0.8*float64(miss)*r.factor && float64(took) > 1.5*float64(a.Est) {
 		m.Index.Evicted(m.keeper(a), a.Parts)
 		return
 	}
 	r.factor *= 1 + 0.05*(float64(took)/float64(max(a.Est, time.Millisecond))-1)
 	r.factor = min(max(r.factor, 0.25), 4)
 }
-
-func (m *Market) Finish(now time.Duration, id int, goID uint64, end End) {
-	a := m.current(id, goID)
-	if a == nil {
-		return
-	}
-	if end == Whole {
-		m.Head(now, id, goID)
-	}
-	m.finish(now, id, a, end)
-}
-
-// Withhold ends a request that another router was asked for before, as long as it did not leave here.
-func (m *Market) Withhold(now time.Duration, id int) {
-	a := m.Asks.get(id)
-	if a == nil || a.State > Placed {
-		return
-	}
-	if a.State == Placed {
-		m.do(Act{Kind: Recall, Ask: id, Go: a.Go, Rep: a.Rep})
-		m.release(now, a)
-	}
-	m.waiting = slices.DeleteFunc(m.waiting, func(w int) bool { return w == id })
-	m.do(Act{Kind: Deny, Ask: id, Rep: -1, Why: HadOne, Repeat: true})
-	m.Asks.drop(id)
-}
-
-func (m *Market) Hangup(now time.Duration, id int) {
-	a := m.Asks.get(id)
-	if a == nil {
-		return
-	}
-	if a.State == Waiting {
-		m.waiting = slices.DeleteFunc(m.waiting, func(w int) bool { return w == id })
-		m.Asks.drop(id)
-		return
-	}
-	m.do(Act{Kind: Cancel, Ask: id, Go: a.Go, Rep: a.Rep, Why: "agent hung up"})
-	m.finish(now, id, a, Hung)
-}
-
-func (m *Market) finish(now time.Duration, id int, a *Ask, end End) {
-	o := &m.Offers[a.Offer]
-	k := o.Kinds[a.Kind]
-	r := &m.Reps[a.Rep]
-	was, goID, rep := a.State, a.Go, a.Rep
-	m.release(now, a)
-	switch end {
-	case Whole:
-		m.N.Dones++
-		o.hold += (now - a.Sent - o.hold) / 16
-		m.do(Act{Kind: Done, Ask: id, Go: goID, Rep: rep})
-		m.Asks.drop(id)
-		return
-	case Hung:
-		m.Asks.drop(id)
-		return
-	case Withheld:
-		m.do(Act{Kind: Deny, Ask: id, Go: goID, Rep: rep, Why: HadOne, Repeat: true})
-		m.Asks.drop(id)
-		return
-	case Unvouched:
-		m.deny(now, id, "its witnesses did not answer", time.Second)
-		return
-	case Refused:
-		m.N.Refused++
-		r.Backoff = max(r.Backoff, now+200*time.Millisecond)
-	case Unreached:
-		m.N.Unreached++
-		m.ail(now, r)
-	case Broken:
-		m.ail(now, r)
-	}
-	if was == Begun {
-		m.N.Partials++
-		m.do(Act{Kind: Partial, Ask: id, Go: goID, Rep: rep})
-		m.Asks.drop(id)
-		return
-	}
-	a.MayRan = a.MayRan || (was == Sent && end == Broken)
-	if was == Placed {
-		a.Second = true
-		m.again(id, a)
-		return
-	}
-	if k.Repeatable && o.second.now >= 1 && now < a.Deadline {
-		a.Second = true
-		m.again(id, a)
-		return
-	}
-	if k.Repeatable && end == Refused {
-		m.N.SecondsSpared++
-		m.deny(now, id, "replica is full", time.Second)
-		return
-	}
-	m.unknown(id, a, "replica broke down")
-}
-
-func (m *Market) unknown(id int, a *Ask, why string) {
-	m.N.Unknowns++
-	after := time.Duration(0)
-	if m.Offers[a.Offer].Kinds[a.Kind].Repeatable {
-		after = 2 * time.Second
-	}
-	m.do(Act{Kind: Unknown, Ask: id, Go: a.Go, Rep: a.Rep, Why: why, After: after})
-	m.Asks.drop(id)
-}
-
-func (m *Market) ail(now time.Duration, r *Replica) {
-	r.breaks = min(r.breaks+1, 5)
-	r.Doubt = now
-	r.Backoff = max(r.Backoff, now+time.Duration(r.breaks*r.breaks)*150*time.Millisecond)
-}
-
-func (m *Market) Rep(id int) (rep int) {
-	a := m.Asks.get(id)
-	if a == nil {
-		return -1
-	}
-	return a.Rep
-}
--- a/bid/divide.go
+++ b/bid/divide.go
@@ -14,6 +14,7 @@
 	of      string
 	domains []string
 	routers map[string][]string
+	names   []string
 	part    map[int]map[string]map[string]float64
 }
 
@@ -35,7 +36,7 @@
 	if n := len(m.divs); n > 0 && m.divs[n-1].of == of {
 		return
 	}
-	d := division{at: now, of: of, routers: map[string][]string{}, part: map[int]map[string]map[string]float64{}}
+	d := division{at: now, of: of, routers: map[string][]string{}, names: m.routers, part: map[int]map[string]map[string]float64{}}
 	for _, r := range m.rows {
 		if d.routers[r.Domain] == nil {
 			d.domains = append(d.domains, r.Domain)
@@ -44,12 +45,15 @@
 	}
 	sort.Strings(d.domains)
 	for i := range m.Offers {
+		if m.Offers[i].Queues {
+			continue
+		}
 		d.part[i] = m.split(i, d)
 	}
 	m.divs = append(m.divs, d)
 	m.prune(now)
 	for i := range m.Reps {
-		m.Reps[i].eff = -1
+		m.Reps[i].eff, m.Reps[i].coldKnown = -1, false
 	}
 }
 
@@ -59,7 +63,7 @@
 		b.WriteString(r.Name + "@" + r.Domain + ",")
 	}
 	for i := range m.Reps {
-		if r := &m.Reps[i]; r.open() {
+		if r := &m.Reps[i]; r.open() && !m.Offers[r.Offer].Queues {
 			fmt.Fprintf(&b, "%d:%d:%s:%d,", i, r.Offer, r.Domain, r.Room)
 		}
 	}
@@ -147,7 +151,7 @@
 	}
 	m.ripe = ripe
 	for i := range m.Reps {
-		m.Reps[i].eff = -1
+		m.Reps[i].eff, m.Reps[i].coldKnown = -1, false
 	}
 }
 
--- a/bid/market.go
+++ b/bid/market.go
@@ -55,6 +55,9 @@
 	Once   bool
 	Repeat bool
 	Spare  time.Duration
+
+	Until   time.Duration
+	Resumes bool
 }
 
 type Counters struct {
@@ -80,6 +83,7 @@
 	fed     time.Duration
 	why     string
 	turn    int
+	soonest time.Duration
 	acts    []Act
 	N       Counters
 }
@@ -95,13 +99,38 @@
 	return len(m.Reps) - 1
 }
 
+// Renew gives the row of a replica that is gone to another; nothing may run there any more.
+func (m *Market) Renew(id int, r Replica, keep int) {
+	r.factor = 1
+	m.Reps[id] = r
+	m.Index.Reset(id, 0)
+	m.Index.SetKeep(id, keep)
+}
+
 func (m *Market) AddOffer(o Offer) (id int) {
 	o.hold = firstHold
 	m.Offers = append(m.Offers, o)
 	return len(m.Offers) - 1
 }
 
+// KindID names a kind's row.
+type KindID struct{ Offer, Kind int }
+
+// KindsInUse are those that some request still refers to.
+func (m *Market) KindsInUse() (used map[KindID]bool) {
+	used = map[KindID]bool{}
+	for i := range m.Asks.rows {
+		if a := &m.Asks.rows[i]; a.live {
+			used[KindID{a.Offer, a.Kind}] = true
+		}
+	}
+	return used
+}
+
 func (m *Market) Retune(now time.Duration) {
+	for i := range m.Reps {
+		m.Reps[i].coldKnown = false
+	}
 	for i := range m.Offers {
 		o := &m.Offers[i]
 		o.second.limit(o.SecondShare, float64(Share("second/"+o.Name, o.SecondPlus, m.routers, m.cfg.Self)))
@@ -156,7 +185,13 @@
 
 func (m *Market) Arrive(now time.Duration, a Ask) (id int) {
 	k := m.Offers[a.Offer].Kinds[a.Kind]
-	a.At, a.Deadline, a.State, a.Rep, a.Prefill = now, now+k.Bound, Waiting, -1, -1
+	a.At, a.Due, a.Deadline, a.State, a.Rep, a.Prefill = now, now+k.Bound, now+k.Bound, Waiting, -1, -1
+	if k.routed() {
+		a.Deadline = now + k.Timeout
+	}
+	if a.Patience > 0 {
+		a.Deadline = min(a.Deadline, now+a.Patience)
+	}
 	id = m.Asks.add(a)
 	m.N.Arrived++
 	m.waiting = append(m.waiting, id)
@@ -179,6 +214,12 @@
 func (m *Market) free(now time.Duration, rep int) (n int) {
 	r := &m.Reps[rep]
 	o := &m.Offers[r.Offer]
+	if m.chilled(now, rep) {
+		return 0
+	}
+	if o.Queues {
+		return r.Room - m.taken(now, rep)
+	}
 	cold := r.coldness(now, o.ColdRamp)
 	eff := r.Room
 	if cold > 0 {
--- a/bid/match.go
+++ b/bid/match.go
@@ -1,6 +1,7 @@
 package bid
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -12,10 +13,7 @@
 		return
 	}
 	if why := m.stalled(now); why != "" {
-		for _, id := range m.waiting {
-			m.deny(now, id, why, time.Second)
-		}
-		m.waiting = m.waiting[:0]
+		m.stall(now, why)
 		return
 	}
 	m.price(now)
@@ -29,8 +27,15 @@
 			m.deny(now, id, "kind is no longer offered", time.Second)
 			continue
 		}
+		if o.Kinds[a.Kind].routed() {
+			if m.admit(now, id, a, ahead[a.Offer], capacity[a.Offer], len(kept)) {
+				ahead[a.Offer]++
+				kept = append(kept, id)
+			}
+			continue
+		}
 		c, any := m.best(now, a)
-		if c.rep >= 0 && now+c.est <= a.Deadline {
+		if c.rep >= 0 && now+c.est <= a.Due {
 			m.place(now, id, a, c)
 			continue
 		}
@@ -51,9 +56,9 @@
 			least = max(least, c.least)
 		}
 		switch {
-		case now+least+wait > a.Deadline && any:
+		case now+least+wait > a.Due && any:
 			m.deny(now, id, "backlog is too long", wait)
-		case now+least > a.Deadline:
+		case now+least > a.Due:
 			m.deny(now, id, "no replica in time", 2*time.Second)
 		case len(kept) >= m.cfg.Backlog:
 			m.deny(now, id, "backlog is full", wait)
@@ -72,7 +77,7 @@
 	for _, id := range m.waiting {
 		a := m.Asks.get(id)
 		k := m.Offers[a.Offer].Kinds[a.Kind]
-		slack := max(float64(a.Deadline-now)/float64(k.Bound), 0.05)
+		slack := max(float64(a.Due-now)/float64(k.Bound), 0.05)
 		a.price = k.Value * k.Urgency / slack
 		if now-a.At > k.Bound/16 {
 			a.price *= m.cfg.Kept
@@ -87,11 +92,21 @@
 	rooms = make([]int, len(m.Offers))
 	m.N.Visited += uint64(len(m.Reps))
 	for i := range m.Reps {
-		if r := &m.Reps[i]; r.fit(now) {
+		r := &m.Reps[i]
+		switch {
+		case !r.fit(now):
+		case m.Offers[r.Offer].Queues:
+			rooms[r.Offer] += m.opening(now, i)
+		default:
 			m.free(now, i)
 			rooms[r.Offer] += r.share
 		}
 	}
+	for i := range rooms {
+		if m.Offers[i].Queues && rooms[i] > 0 {
+			rooms[i] = max(rooms[i]/max(len(m.routers), 1), 1)
+		}
+	}
 	return rooms
 }
 
@@ -108,18 +123,20 @@
 	o := &m.Offers[a.Offer]
 	m.goSeq++
 	a.State, a.Go, a.Rep, a.Prefill, a.Began, a.Sent, a.Confirmed = Placed, m.goSeq, c.rep, -1, now, now, false
-	a.Conf, a.Pred, a.Est = c.conf, c.pred, c.est
+	a.Conf, a.Pred, a.Est, a.Forced = c.conf, c.pred, c.est, c.forced
 	a.Gos++
 	if o.Split {
 		a.Prefill, a.Conf, a.Pred = m.prefill(now, a, o)
 	}
 	m.Reps[c.rep].began(now)
+	m.reserve(now, c.rep)
 	m.Index.Commit(now, m.keeper(a), a.Go, a.Parts)
+	m.soonest = min(m.soonest, a.Deadline)
 	m.N.Placed++
 	m.N.ConfirmedTokens += uint64(a.Conf)
 	m.N.PredictedTokens += uint64(a.Pred)
 	m.N.PrefixTokens += uint64(hint.Tokens(a.Parts))
-	m.do(Act{Kind: Place, Ask: id, Go: a.Go, Rep: a.Rep, Pre: a.Prefill, Conf: a.Conf, Pred: a.Pred, Once: !o.Kinds[a.Kind].Repeatable, Spare: max(a.Deadline-now-a.Est, 0)})
+	m.do(Act{Kind: Place, Ask: id, Go: a.Go, Rep: a.Rep, Pre: a.Prefill, Conf: a.Conf, Pred: a.Pred, Once: !a.settled(m), Spare: max(a.Due-now-a.Est, 0), Until: a.Deadline, Resumes: a.Resume})
 }
 
 func (m *Market) keeper(a *Ask) (rep int) {
@@ -146,25 +163,41 @@
 
 func (m *Market) deny(now time.Duration, id int, why string, wait time.Duration) {
 	a := m.Asks.get(id)
+	if a.Resume {
+		m.partial(id, a.Go, a.Rep)
+		return
+	}
 	if a.MayRan {
 		m.unknown(id, a, why)
 		return
 	}
-	late := a.Gos > 0 || now-a.At > m.Offers[a.Offer].Kinds[a.Kind].Bound/4
+	k := &m.Offers[a.Offer].Kinds[a.Kind]
+	late := a.Gos > 0 || now-a.At > k.Bound/4
 	if late {
 		m.N.DeniedLate++
 	} else {
 		m.N.DeniedEarly++
 	}
 	after := max((wait + time.Second - 1).Truncate(time.Second), time.Second)
+	if k.routed() {
+		after = max(wait, leastAfter)
+	}
 	m.do(Act{Kind: Deny, Ask: id, Why: why, After: after, Late: late, Rep: -1})
 	m.Asks.drop(id)
 }
 
 func (m *Market) silence(now time.Duration) {
+	m.soonest = math.MaxInt64
 	for id := range m.Asks.rows {
 		a := &m.Asks.rows[id]
-		if !a.live || a.State == Waiting || a.Confirmed {
+		if !a.live || a.State == Waiting {
+			continue
+		}
+		if m.Offers[a.Offer].Kinds[a.Kind].routed() {
+			m.expire(now, id, a)
+			continue
+		}
+		if a.Confirmed {
 			continue
 		}
 		if now-a.Sent < max(m.cfg.Silence, 2*m.Offers[a.Offer].Kinds[a.Kind].Bound) {
--- /dev/null
+++ b/bid/route_test.go
@@ -0,0 +1,242 @@
+package bid
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+var stream = Kind{Value: 1, Urgency: 1, Bound: 800 * ms, Attempts: 2, Timeout: 3 * time.Second}
+
+func queueing(room int, kinds ...Kind) (m *Market) {
+	m = market(room, kinds...)
+	m.Offers[0].Queues = true
+	m.Retune(now)
+	return m
+}
+
+func start(t *testing.T, m *Market, now time.Duration) (id int, p Act) {
+	t.Helper()
+	id = m.Arrive(now, Ask{})
+	p = only(t, m.Tick(now), Place)
+	m.Leave(now, id, p.Go)
+	only(t, m.Tick(now), Send)
+	return id, p
+}
+
+func TestColdReplicasGetTheirRateFromAllRoutersTogether(t *testing.T) {
+	for _, n := range []int{12, 88} {
+		rng := rand.New(rand.NewPCG(uint64(n), 3))
+		rows := func(n int) (rs []RouterRow) {
+			for i := range n {
+				rs = append(rs, RouterRow{fmt.Sprint("n", i), "a"})
+			}
+			return rs
+		}
+		var ms12 []*Market
+		for i := range n {
+			m := New(Defaults(fmt.Sprint("n", i), "a"))
+			o := m.AddOffer(Offer{Name: "o", Kinds: []Kind{{Value: 1, Urgency: 1, Bound: time.Second, Attempts: 9, Timeout: time.Second}}, Queues: true, ColdRate: 20})
+			m.Offers[o].Reps = append(m.Offers[o].Reps, m.AddReplica(Replica{Name: "r", Offer: o, Room: 1000, Listed: true, Up: true, Warm: true, ColdUntil: time.Hour}, 0))
+			m.SetRouters(0, rows(n))
+			ms12 = append(ms12, m)
+		}
+		var sent []time.Duration
+		for at := time.Duration(0); at < 20*time.Second; at += 20 * ms {
+			for i, m := range ms12 {
+				change := time.Duration(i%7) * 200 * ms
+				if at == 8*time.Second+change {
+					m.SetRouters(at, rows(n-n/4))
+				}
+				if at == 14*time.Second+change {
+					m.SetRouters(at, rows(n))
+				}
+				m.Feed(at, "")
+				if m.Asks.n < 4 {
+					m.Arrive(at, Ask{})
+				}
+				for _, a := range m.Tick(at) {
+					if a.Kind != Place {
+						continue
+					}
+					m.Leave(at+time.Duration(rng.IntN(15))*ms, a.Ask, a.Go)
+					for _, b := range m.Tick(at) {
+						if b.Kind == Send {
+							sent = append(sent, at)
+						}
+					}
+				}
+			}
+		}
+		worst := 0
+		for i := range sent {
+			in := 0
+			for j := i; j < len(sent) && sent[j] <= sent[i]+time.Second-20*ms; j++ {
+				in++
+			}
+			worst = max(worst, in)
+		}
+		if worst > 20 || len(sent) < 200 {
+			t.Errorf("%d routers: %d of 20 in a second, %d in all", n, worst, len(sent))
+		}
+	}
+}
+
+func TestColdRateHoldsAtSending(t *testing.T) {
+	m := queueing(8, stream)
+	m.Reps[1].Listed = false
+	m.Offers[0].ColdRate = 1
+	a, b := m.Arrive(now, Ask{}), m.Arrive(now, Ask{})
+	acts := m.Tick(now)
+	m.Chill(0, now+time.Minute)
+	m.Retune(now)
+	m.Leave(now+ms, a, acts[0].Go)
+	only(t, m.Tick(now+ms), Send)
+	m.Leave(now+2*ms, b, acts[1].Go)
+	if acts = m.Tick(now + 2*ms); acts[0].Kind != Recall {
+		t.Errorf("%+v", acts)
+	}
+	m.Chill(0, now)
+	if !m.Reps[0].cold(now + 30*time.Second) {
+		t.Error("coldness was cut short")
+	}
+}
+
+func TestSecondAttemptsOfRoutes(t *testing.T) {
+	repeat, resume, single := stream, stream, stream
+	repeat.Repeatable = true
+	resume.Repeatable, resume.Resumable = true, true
+	single.Attempts, single.Repeatable = 1, true
+	for _, c := range []struct {
+		name   string
+		kind   Kind
+		begun  bool
+		end    End
+		purse  float64
+		act    ActKind
+		resume bool
+	}{
+		{"refused may go elsewhere though not repeatable", stream, false, Refused, 4, Place, false},
+		{"refused without budget is denied", stream, false, Refused, 0, Deny, false},
+		{"refused with one attempt is denied", single, false, Refused, 4, Deny, false},
+		{"broken, not repeatable", stream, false, Broken, 4, Unknown, false},
+		{"broken, repeatable", repeat, false, Broken, 4, Place, false},
+		{"broken, repeatable, no budget", repeat, false, Broken, 0, Unknown, false},
+		{"broken, one attempt", single, false, Broken, 4, Unknown, false},
+		{"cut, not resumable", repeat, true, Broken, 4, Partial, false},
+		{"cut, resumable", resume, true, Broken, 4, Place, true},
+		{"cut, resumable, no budget", resume, true, Broken, 0, Partial, false},
+		{"never sent needs no budget", stream, false, Unreached, 0, Place, false},
+	} {
+		m := queueing(8, c.kind)
+		id, p := start(t, m, now)
+		m.Offers[0].second.now = c.purse
+		if c.begun {
+			m.Head(now, id, p.Go)
+			m.Begin(id, p.Go)
+		}
+		m.Finish(now, id, p.Go, c.end)
+		acts := m.Tick(now)
+		if len(acts) != 1 || acts[0].Kind != c.act || acts[0].Resumes != c.resume {
+			t.Errorf("%s: %+v", c.name, acts)
+			continue
+		}
+		if c.act == Deny && (acts[0].After < leastAfter || acts[0].After >= time.Second) {
+			t.Errorf("%s: come back after %v", c.name, acts[0].After)
+		}
+		if c.act != Place {
+			continue
+		}
+		q := acts[0]
+		if q.Rep == p.Rep {
+			t.Errorf("%s: on the same replica", c.name)
+		}
+		m.Leave(now, id, q.Go)
+		only(t, m.Tick(now), Send)
+		if c.end == Unreached {
+			continue
+		}
+		m.Finish(now, id, q.Go, Broken)
+		want := Unknown
+		if c.resume {
+			want = Partial
+		}
+		only(t, m.Tick(now), want)
+	}
+}
+
+func TestNoRefusalWhileRoomIsFree(t *testing.T) {
+	m := queueing(8, stream)
+	slow := time.Duration(0)
+	for i := range 16 {
+		m.Offers[0].Base = slow
+		slow += 200 * ms
+		m.Arrive(now, Ask{Tail: 100000 * i})
+		only(t, m.Tick(now), Place)
+	}
+	id := m.Arrive(now, Ask{})
+	only(t, m.Tick(now))
+	acts := m.Tick(now + 200*ms)
+	if a := only(t, acts, Place); a.Ask != id {
+		t.Errorf("%+v", a)
+	}
+	for range 3 {
+		m.Arrive(now+200*ms, Ask{})
+	}
+	m.Tick(now + 200*ms)
+	m.Tick(now + 400*ms)
+	if m.N.DeniedLate > 0 {
+		t.Errorf("%d denied late", m.N.DeniedLate)
+	}
+	for range 20 {
+		m.Arrive(now+400*ms, Ask{})
+	}
+	denied := 0
+	for _, at := range []time.Duration{now + 400*ms, now + 600*ms} {
+		m.Feed(at, "")
+		for _, a := range m.Tick(at) {
+			if a.Kind == Deny {
+				denied++
+				if a.Late || a.After < leastAfter {
+					t.Errorf("%+v", a)
+				}
+			}
+		}
+	}
+	if denied == 0 || len(m.waiting) > 0 {
+		t.Errorf("%d denied, %d wait beyond a quarter of their aim", denied, len(m.waiting))
+	}
+}
+
+func TestOldNewsOfOthersFade(t *testing.T) {
+	m := queueing(8, stream)
+	for i := range m.Reps {
+		m.Told(now, i, 200)
+	}
+	m.Arrive(now, Ask{})
+	only(t, m.Tick(now))
+	only(t, m.Tick(now+160*ms), Deny)
+	m.Feed(now+30*time.Second, "")
+	m.Arrive(now+30*time.Second, Ask{})
+	only(t, m.Tick(now+30*time.Second), Place)
+}
+
+func TestASilentReplicaIsLeftToAnswerUntilTheDeadline(t *testing.T) {
+	long := stream
+	long.Timeout = 15 * time.Second
+	m := queueing(8, long)
+	start(t, m, now)
+	m.Feed(now+14*time.Second, "")
+	only(t, m.Tick(now+14*time.Second))
+	if at, any := m.Next(now + 14900*ms); !any || at != now+15*time.Second {
+		t.Errorf("next at %v", at)
+	}
+	only(t, m.Tick(now+15*time.Second), Cancel, Unknown)
+	m.Tick(now + 25*time.Second)
+	if _, any := m.Next(now + 25*time.Second); any {
+		t.Error("an idle market needs the time")
+	}
+}
--- a/bid/share.go
+++ b/bid/share.go
@@ -67,6 +67,8 @@
 
 func (p *purse) earn() { p.now = min(p.now+p.share, p.cap) }
 
+func (p *purse) refund() { p.now = min(p.now+1, p.cap) }
+
 func (p *purse) spend() (ok bool) {
 	if p.now < 1 {
 		return false
--- a/bid/table.go
+++ b/bid/table.go
@@ -1,7 +1,6 @@
 package bid
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/hint"
@@ -21,14 +20,20 @@
 	Parts       []hint.Part
 	Tail        int
 	At          time.Duration
-	Deadline    time.Duration
+	// Due is the aim for the first token, Deadline when the request is given up.
+	Due, Deadline time.Duration
+	// Patience bounds the deadline where it is told.
+	Patience time.Duration
 
 	State     State
 	Go        uint64
 	Rep       int
 	Prefill   int
 	Gos       int
+	Sends     int
 	Second    bool
+	Resume    bool
+	Forced    bool
 	MayRan    bool
 	Vouched   bool
 	Paid      bool
@@ -43,9 +48,10 @@
 	price     float64
 }
 
-// settled tells whether a go that was sent needs no more leave: it may be repeated, or its witnesses have answered.
+// settled tells whether a go that was sent needs no more leave: it may be repeated, is routed, or its witnesses have answered.
 func (a *Ask) settled(m *Market) (yes bool) {
-	return a.Vouched || m.Offers[a.Offer].Kinds[a.Kind].Repeatable
+	k := &m.Offers[a.Offer].Kinds[a.Kind]
+	return a.Vouched || k.Repeatable || k.routed()
 }
 
 type Asks struct {
@@ -85,8 +91,15 @@
 	Bound          time.Duration
 	Repeatable     bool
 	Gone           bool
+
+	// Attempts is the most sends of one request; above 0 for routes, whose request ids never return.
+	Attempts  int
+	Timeout   time.Duration
+	Resumable bool
 }
 
+func (k *Kind) routed() (yes bool) { return k.Attempts > 0 }
+
 type Offer struct {
 	Name           string
 	Kinds          []Kind
@@ -99,109 +112,15 @@
 	SecondPlus     int
 	Split          bool
 
+	// Queues: replicas queue beyond their room and tell their load, so room is not divided.
+	Queues   bool
+	MaxConns int
+	// ColdRate is how many starts a second a cold replica bears from all routers together; 0: no bound.
+	ColdRate float64
+
 	second purse
 	hold   time.Duration
 	Firsts uint64
 	Again  uint64
 	Spared uint64
 }
-
-type Replica struct {
-	Name    string
-	Offer   int
-	Domain  string
-	Near    bool
-	Role    string
-	Room    int
-	Listed  bool
-	Emptied bool
-	Leaving bool
-	Up      bool
-
-	ColdAt    time.Duration
-	Warm      bool
-	Doubt     time.Duration
-	Backoff   time.Duration
-	Usage     int
-	UsageAsOf time.Duration
-	Own       int
-	starts    []time.Duration
-	ends      []time.Duration
-	factor    float64
-	share     int
-	eff       int
-	breaks    int
-}
-
-func (r *Replica) open() (yes bool) {
-	return r.Listed && !r.Emptied && !r.Leaving && r.Up
-}
-
-func (r *Replica) fit(now time.Duration) (yes bool) { return r.open() && now >= r.Backoff }
-
-func after(ts []time.Duration, t time.Duration) (kept []time.Duration) {
-	i := 0
-	for i < len(ts) && ts[i] <= t {
-		i++
-	}
-	return ts[i:]
-}
-
-func (r *Replica) report(asOf time.Duration, usage int) {
-	if asOf < r.UsageAsOf {
-		return
-	}
-	r.Usage, r.UsageAsOf = usage, asOf
-	r.starts, r.ends = after(r.starts, asOf), after(r.ends, asOf)
-}
-
-func (r *Replica) load() (n int) {
-	return max(r.Own, r.Usage+len(r.starts)-len(r.ends))
-}
-
-func (r *Replica) fullness() (f float64) {
-	return float64(r.load()) / float64(max(r.Room, 1))
-}
-
-func (r *Replica) coldness(now, ramp time.Duration) (c float64) {
-	if r.Doubt > 0 && ramp > 0 {
-		return 1
-	}
-	if r.Warm || ramp <= 0 || now-r.ColdAt >= ramp {
-		return 0
-	}
-	return 1 - float64(now-r.ColdAt)/float64(ramp)
-}
-
-const keptStarts = 4096
-
-func (r *Replica) began(now time.Duration) {
-	r.Own++
-	r.starts = append(r.starts, now)
-	if len(r.starts) > keptStarts {
-		r.starts = r.starts[1:]
-	}
-}
-
-// restart dates a go that waited between placing and sending from its sending.
-func (r *Replica) restart(began, now time.Duration) {
-	if i := slices.Index(r.starts, began); i >= 0 {
-		r.starts = append(slices.Delete(slices.Clone(r.starts), i, i+1), now)
-		return
-	}
-	r.starts = append(r.starts, now)
-}
-
-func (r *Replica) ended(now, began time.Duration) {
-	r.Own--
-	if began <= r.UsageAsOf {
-		r.ends = append(r.ends, now)
-		return
-	}
-	for i, t := range r.starts {
-		if t == began {
-			r.starts = append(append([]time.Duration(nil), r.starts[:i]...), r.starts[i+1:]...)
-			return
-		}
-	}
-}
--- a/desk.go
+++ b/desk.go
@@ -20,19 +20,24 @@
 	in    chan ask
 	r     *Router
 	subs  map[string]chan Decision
+	every time.Duration
 }
 
+// Idle is how long a desk sleeps at most.
+const Idle = 250 * time.Millisecond
+
 const deskQueue = 1024
 
+// NewDesk starts the goroutine; it sleeps until the router needs the time, and never longer than every.
 func NewDesk(t *tomb.Tomb, r *Router, clock func() time.Duration, every time.Duration) (d *Desk) {
-	d = &Desk{t: t, clock: clock, in: make(chan ask, deskQueue), r: r, subs: map[string]chan Decision{}}
-	t.Go(func() error { return d.run(every) })
+	d = &Desk{t: t, clock: clock, in: make(chan ask, deskQueue), r: r, subs: map[string]chan Decision{}, every: every}
+	t.Go(d.run)
 	return d
 }
 
-func (d *Desk) run(every time.Duration) (err error) {
-	tick := time.NewTicker(every)
-	defer tick.Stop()
+func (d *Desk) run() (err error) {
+	wake := time.NewTimer(d.every)
+	defer wake.Stop()
 	for {
 		select {
 		case <-d.t.Dying():
@@ -40,12 +45,24 @@
 				d.shut(req)
 			}
 			return nil
-		case <-tick.C:
+		case <-wake.C:
 			d.deal(d.r.Step(d.clock(), Tick{}))
 		case a := <-d.in:
 			d.take(a)
 		}
+		wake.Reset(d.pause())
+	}
+}
+
+const shortestPause = time.Millisecond
+
+func (d *Desk) pause() (t time.Duration) {
+	now := d.clock()
+	at, any := d.r.Next(now)
+	if !any {
+		return d.every
 	}
+	return min(max(at-now, shortestPause), d.every)
 }
 
 func (d *Desk) take(a ask) {
--- a/desk_test.go
+++ b/desk_test.go
@@ -36,3 +36,22 @@
 		t.Error(err)
 	}
 }
+
+func TestADeskSleepsUntilTheRouterNeedsTheTime(t *testing.T) {
+	r, tb := routed(routes(1, route("k", "/", all("a")))), &tomb.Tomb{}
+	start := time.Now()
+	d := mallowbridge.NewDesk(tb, r, func() time.Duration { return settled + time.Since(start) }, time.Hour)
+	decisions := d.Submit(mallowbridge.Arrive{Request: "q", Host: "h.example", Path: "/x"})
+	select {
+	case x := <-decisions:
+		if x.Verdict != mallowbridge.Deny || x.Late || time.Since(start) < 100*time.Millisecond {
+			t.Errorf("%+v after %v", x, time.Since(start))
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the desk slept on")
+	}
+	tb.Kill(nil)
+	if err := tb.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/embed.go
+++ b/embed.go
@@ -14,7 +14,7 @@
 	if _, err := rand.Read(boot[:]); err != nil {
 		panic(err)
 	}
-	d = NewDesk(t, New(Defaults(name, hex.EncodeToString(boot[:]), domain)), clock, 10*time.Millisecond)
+	d = NewDesk(t, New(Defaults(name, hex.EncodeToString(boot[:]), domain)), clock, Idle)
 	Follow(t, addr, name, func(w Welcome) { d.Tell(w) }, d.Tell)
 	return d
 }
--- a/hint/chain.go
+++ b/hint/chain.go
@@ -24,7 +24,7 @@
 	return "X-Prompt-Prefix: " + strconv.Quote(e.Part) + ": must be " + e.Bound
 }
 
-// X-Prompt-Prefix: id/tokens, id/tokens
+// X-Prompt-Prefix: id/tokens, id/tokens; or id:tokens
 func Parse(model, header string) (parts []Part, err error) {
 	if strings.TrimSpace(header) == "" {
 		return nil, nil
@@ -35,10 +35,12 @@
 	}
 	parent := xxhash.Sum64String(model)
 	for _, f := range fields {
-		id, num, ok := strings.Cut(strings.TrimSpace(f), "/")
+		f = strings.TrimSpace(f)
+		cut := strings.LastIndexAny(f, "/:")
+		id, num := f[:max(cut, 0)], f[cut+1:]
 		n, bad := strconv.Atoi(num)
-		if !ok || id == "" || len(id) > 128 || bad != nil || n < 1 || n > 1<<20 {
-			return nil, &HeaderError{Part: f, Bound: "id/tokens with 1 to 1048576 tokens"}
+		if id == "" || strings.Contains(id, "/") || len(id) > 128 || bad != nil || n < 1 || n > 1<<20 {
+			return nil, &HeaderError{Part: f, Bound: "id/tokens or id:tokens with 1 to 1048576 tokens"}
 		}
 		parent = xxhash.Sum64String(strconv.FormatUint(parent, 16) + "/" + id)
 		parts = append(parts, Part{Key: Key(parent), Tokens: n})
--- a/order.go
+++ b/order.go
@@ -23,16 +23,21 @@
 	}
 	offers := map[string]int{}
 	cap := 2 * time.Second
+	used := r.m.KindsInUse()
 	for _, o := range p.Charter.Offers {
-		offers[o.Name] = r.offer(now, o)
-		cap = min(cap, o.StaleCap)
+		offers[o.Name] = r.offer(now, o, used)
+		if o.StaleCap > 0 {
+			cap = min(cap, o.StaleCap)
+		}
 	}
 	r.offers = offers
+	r.route(p, used)
+	r.list(now)
 	r.m.Index.SetCap(cap)
 	r.m.Retune(now)
 }
 
-func (r *Router) offer(now time.Duration, o charter.Offer) (id int) {
+func (r *Router) offer(now time.Duration, o charter.Offer, used map[bid.KindID]bool) (id int) {
 	id = -1
 	for i := range r.m.Offers {
 		if r.m.Offers[i].Name == o.Name {
@@ -46,18 +51,16 @@
 	row := &r.m.Offers[id]
 	row.ColdRoom, row.ColdRamp, row.Base, row.PerToken = o.ColdRoom, o.ColdRamp, o.Base, o.PerToken
 	row.CrossCost, row.SecondShare, row.SecondPlus = o.CrossCost, o.SecondShare, o.SecondPlus
+	row.Queues, row.MaxConns, row.ColdRate = o.Queues, o.MaxConns, o.ColdRate
+	if o.Stride > 0 || o.Discovered {
+		row.Base, row.PerToken = orElse(o.Base, 30*time.Millisecond), orElse(o.PerToken, 10*time.Microsecond)
+	}
 	row.Split = false
 	if r.kinds[id] == nil {
-		r.kinds[id] = map[string]int{}
+		r.kinds[id] = map[kindKey]int{}
 	}
-	known := r.kinds[id]
 	for _, k := range o.Kinds {
-		at, ok := known[k.Name]
-		if !ok {
-			at = len(row.Kinds)
-			known[k.Name] = at
-			row.Kinds = append(row.Kinds, bid.Kind{})
-		}
+		at := r.kind(id, kindKey{name: k.Name}, used)
 		row.Kinds[at] = bid.Kind{Value: k.Value, Urgency: k.Urgency, Bound: k.FirstToken, Repeatable: k.Repeatable}
 	}
 	for _, c := range o.Replicas {
@@ -82,14 +85,14 @@
 	s.addr = c.Addr
 	row.Offer, row.Role, row.Room, row.Listed = offer, c.Role, c.Room, true
 	row.Domain, row.Near = c.Domain, c.Domain == r.cfg.Domain
-	row.Emptied = r.pic.Empty(c.Domain)
+	r.emptied(now, id, c.Domain)
 	r.m.Index.SetKeep(id, keep)
 	return id
 }
 
 func (r *Router) listing(now time.Duration, e Listing) {
 	id, ok := r.reps[e.Replica]
-	if !ok {
+	if !ok || r.seats[id].discovered {
 		return
 	}
 	r.seats[id].listing = e.State
@@ -108,6 +111,10 @@
 	if !ok {
 		return
 	}
+	if r.seats[id].discovered {
+		r.seen(now, id, e)
+		return
+	}
 	row, s := &r.m.Reps[id], &r.seats[id]
 	was := row.Up && !row.Leaving
 	defer func() {
--- /dev/null
+++ b/render.go
@@ -0,0 +1,63 @@
+package mallowbridge
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/bid"
+)
+
+func (r *Router) render(now time.Duration, acts []bid.Act) (out []Decision) {
+	for _, a := range acts {
+		d := Decision{Verdict: verdicts[a.Kind], Request: r.names[a.Ask].request, Why: a.Why, After: a.After, Late: a.Late, Confirmed: a.Conf, Predicted: a.Pred}
+		if a.Go != 0 {
+			d.Go = r.goName(a.Go)
+		}
+		if a.Rep >= 0 {
+			d.Replica, d.Addr = r.seats[a.Rep].name, r.seats[a.Rep].addr
+		}
+		d.Once, d.Repeat, d.Spare = a.Once, a.Repeat, a.Spare
+		if a.Kind == bid.Place {
+			r.placed(&d, a)
+		}
+		switch a.Kind {
+		case bid.Send:
+			r.once.note(now, d.Request)
+		case bid.Deny:
+			if !a.Repeat {
+				r.once.drop(d.Request)
+			}
+			r.forget(a.Ask)
+		case bid.Done, bid.Unknown, bid.Partial:
+			r.forget(a.Ask)
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+func (r *Router) placed(d *Decision, a bid.Act) {
+	if a.Pre >= 0 {
+		d.Prefill = r.seats[a.Pre].addr
+	}
+	s := &r.seats[a.Rep]
+	d.Route, d.Resumes = r.names[a.Ask].route, a.Resumes
+	if s.discovered {
+		d.Instance = s.instance
+	}
+	d.Conns = r.m.Part(0.8 * float64(r.m.Offers[r.m.Reps[a.Rep].Offer].MaxConns))
+	if d.Route != nil {
+		d.Until = a.Until
+	}
+}
+
+var verdicts = map[bid.ActKind]Verdict{
+	bid.Place: Place, bid.Send: Send, bid.Recall: Recall, bid.Deny: Deny, bid.Cancel: Cancel,
+	bid.Unknown: Unknown, bid.Partial: Partial, bid.Done: Done, bid.Peek: Peek,
+}
+
+func (r *Router) forget(id int) {
+	if a, ok := r.names[id]; ok {
+		delete(r.asks, a.request)
+		delete(r.names, id)
+	}
+}
--- /dev/null
+++ b/roster.go
@@ -0,0 +1,135 @@
+package mallowbridge
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/bid"
+	"github.com/mallowbridge/mallowbridge/charter"
+)
+
+// forgotten is how long an instance has been gone when its row may go to another.
+const forgotten = 10 * time.Second
+
+// roll takes in the platform's list, unless a newer one is known.
+func (r *Router) roll(now time.Duration, e Roster) {
+	if r.listed && now-e.Age < r.read {
+		return
+	}
+	r.roster, r.read, r.listed = e, now-e.Age, true
+	if r.pic == nil {
+		return
+	}
+	r.list(now)
+	r.m.Retune(now)
+}
+
+// list applies the last roster to the offers whose replicas are discovered.
+func (r *Router) list(now time.Duration) {
+	if !r.listed {
+		return
+	}
+	known := map[string]int{}
+	for i := range r.pic.Charter.Offers {
+		if o := &r.pic.Charter.Offers[i]; o.Discovered {
+			known[o.Name] = i
+			r.m.Offers[r.offers[o.Name]].Reps = r.m.Offers[r.offers[o.Name]].Reps[:0]
+		}
+	}
+	for id := range r.seats {
+		if r.seats[id].discovered {
+			r.m.Reps[id].Listed = false
+		}
+	}
+	for _, row := range r.roster.Rows {
+		if at, ok := known[row.Offer]; ok {
+			r.enlist(now, row, &r.pic.Charter.Offers[at])
+		}
+	}
+	for id := range r.seats {
+		s, rep := &r.seats[id], &r.m.Reps[id]
+		if !s.discovered || rep.Listed || s.gone > 0 {
+			continue
+		}
+		s.gone, rep.Up = max(now, 1), false
+		r.m.Index.Reset(id, 0)
+	}
+}
+
+func (r *Router) enlist(now time.Duration, row Instance, o *charter.Offer) {
+	id, ok := r.reps[row.ID]
+	if ok && !r.seats[id].discovered {
+		return
+	}
+	if !ok {
+		id = r.vacancy(now, row.ID, o.KeepTokens)
+	}
+	s, rep := &r.seats[id], &r.m.Reps[id]
+	cold := row.Cold
+	row.Cold = 0
+	old := s.row
+	if !ok || s.gone > 0 || old != row {
+		rep.Up = true
+	}
+	if ok && (old.Model != row.Model || old.Weights != row.Weights) {
+		r.m.Index.Reset(id, 0)
+	}
+	s.row, s.gone, s.addr, s.instance = row, 0, row.Addr, row.ID
+	rep.Offer, rep.Role, rep.Room, rep.Listed, rep.Leaving = r.offers[row.Offer], "both", max(row.Room, 1), true, row.Leaving
+	rep.Domain, rep.Near = row.Domain, row.Domain == r.cfg.Domain
+	r.m.Index.SetKeep(id, o.KeepTokens)
+	r.m.Offers[rep.Offer].Reps = append(r.m.Offers[rep.Offer].Reps, id)
+	if cold > 0 {
+		r.m.Chill(id, r.read+cold)
+	}
+	r.emptied(now, id, row.Domain)
+}
+
+// vacancy gives a new instance a row, that of one long gone where there is one.
+func (r *Router) vacancy(now time.Duration, name string, keep int) (id int) {
+	fresh := bid.Replica{Name: name, Warm: true}
+	for id = range r.seats {
+		s := &r.seats[id]
+		if !s.discovered || s.gone == 0 || now-s.gone < forgotten || r.m.Reps[id].Own > 0 {
+			continue
+		}
+		delete(r.reps, s.name)
+		*s = seat{name: name, discovered: true}
+		r.m.Renew(id, fresh, keep)
+		r.reps[name] = id
+		return id
+	}
+	id = r.m.AddReplica(fresh, keep)
+	r.seats = append(r.seats, seat{name: name, discovered: true})
+	r.reps[name] = id
+	return id
+}
+
+// emptied closes replicas of an emptied domain; taken back, they may have turned cold.
+func (r *Router) emptied(now time.Duration, id int, domain string) {
+	rep, is := &r.m.Reps[id], r.pic.Empty(domain)
+	if rep.Emptied && !is {
+		r.m.Chill(id, now+r.coldFor(rep.Offer))
+	}
+	rep.Emptied = is
+}
+
+func (r *Router) coldFor(offer int) (t time.Duration) {
+	for i := range r.pic.Charter.Offers {
+		if o := &r.pic.Charter.Offers[i]; o.Name == r.m.Offers[offer].Name {
+			return o.ColdFor
+		}
+	}
+	return 0
+}
+
+// seen takes in what a look at a listed instance showed.
+func (r *Router) seen(now time.Duration, id int, e Usage) {
+	rep := &r.m.Reps[id]
+	rep.Up = !e.Down && (e.InstanceID == "" || e.InstanceID == r.seats[id].instance)
+	if !rep.Up {
+		return
+	}
+	rep.Leaving = e.Leaving || r.seats[id].row.Leaving
+	r.m.Same(now-e.Lag, now-e.Age, id)
+	r.m.Report(now-e.Lag, id, e.Running)
+}
--- /dev/null
+++ b/route_test.go
@@ -0,0 +1,186 @@
+package mallowbridge_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/charter"
+)
+
+func routes(mark uint64, rs ...charter.Route) (p *charter.Picture) {
+	p = &charter.Picture{Mark: mark}
+	for _, name := range []string{"a", "b"} {
+		p.Charter.Offers = append(p.Charter.Offers, charter.Offer{
+			Name: name, Model: "m", Discovered: true, Queues: true, MaxConns: 100, ColdRate: 20, ColdFor: 3 * time.Second, KeepTokens: 10000,
+			SecondShare: 0.2, SecondPlus: 4, Stride: 6,
+		})
+	}
+	p.Charter.Routes = rs
+	return p
+}
+
+func route(name, prefix string, split ...charter.Split) (rt charter.Route) {
+	return charter.Route{
+		Name: name, Host: "H.example", Prefix: prefix, Split: split, Timeout: 3 * time.Second, FirstToken: 800 * time.Millisecond, Attempts: 2,
+	}
+}
+
+func all(offer string) (s charter.Split) { return charter.Split{Offer: offer, Weight: 1} }
+
+func row(id, offer string) (i mallowbridge.Instance) {
+	return mallowbridge.Instance{ID: id, Offer: offer, Addr: "10.0.0.1:1", Domain: "a", Model: "m", Weights: "1", Room: 8}
+}
+
+func routed(p *charter.Picture, rows ...mallowbridge.Instance) (r *mallowbridge.Router) {
+	r = mallowbridge.New(mallowbridge.Defaults("n1", "b", "a"))
+	r.Step(0, mallowbridge.Roster{Rows: rows})
+	r.Step(0, mallowbridge.Order{Picture: p})
+	r.Step(0, mallowbridge.Routers{Names: []string{"n1"}, Domains: []string{"a"}})
+	r.Step(settled, mallowbridge.Feed{})
+	return r
+}
+
+func get(r *mallowbridge.Router, now time.Duration, id, path string) (ds []mallowbridge.Decision) {
+	r.Step(now, mallowbridge.Feed{})
+	return r.Step(now, mallowbridge.Arrive{Request: id, Host: "h.example:80", Path: path, Prefix: "ab:300,cd:100", Tokens: 500})
+}
+
+func one(t *testing.T, ds []mallowbridge.Decision, v mallowbridge.Verdict) (d mallowbridge.Decision) {
+	t.Helper()
+	if len(ds) != 1 || ds[0].Verdict != v {
+		t.Fatalf("%+v, want %s", ds, v)
+	}
+	return ds[0]
+}
+
+func TestTheLongestPrefixIsTaken(t *testing.T) {
+	p := routes(1, route("short", "/a/", all("a")), route("long", "/a/b/", all("b")))
+	r := routed(p, row("i1", "a"), row("i2", "b"))
+	d := one(t, get(r, settled, "q1", "/a/b/c"), mallowbridge.Place)
+	if d.Instance != "i2" || d.Route != &p.Charter.Routes[1] || d.Until != settled+3*time.Second || d.Conns != 80 {
+		t.Errorf("%+v", d)
+	}
+	if d = one(t, get(r, settled, "q2", "/a/c"), mallowbridge.Place); d.Instance != "i1" {
+		t.Errorf("%+v", d)
+	}
+	for _, path := range []string{"/", "/b/", "/a"} {
+		if d = one(t, get(r, settled, "q3", path), mallowbridge.Deny); !d.Bad {
+			t.Errorf("%s: %+v", path, d)
+		}
+	}
+}
+
+func TestSplitsFollowTheirWeights(t *testing.T) {
+	big, rows := 0, []mallowbridge.Instance{row("i1", "a"), row("i2", "b")}
+	rows[0].Room, rows[1].Room = 4000, 4000
+	r := routed(routes(1, route("k", "/", charter.Split{Offer: "a", Weight: 90}, charter.Split{Offer: "b", Weight: 10})), rows...)
+	for i := range 2000 {
+		if one(t, get(r, settled, fmt.Sprint(i), "/x"), mallowbridge.Place).Instance == "i1" {
+			big++
+		}
+	}
+	if big < 1740 || big > 1860 {
+		t.Errorf("%d of 2000 at a weight of 90 in 100", big)
+	}
+}
+
+func TestARouteRemovedWhileARequestWaits(t *testing.T) {
+	r := routed(routes(1, route("k", "/", all("a"))))
+	if ds := get(r, settled, "q", "/x"); len(ds) > 0 {
+		t.Fatalf("%+v", ds)
+	}
+	d := one(t, r.Step(settled+time.Millisecond, mallowbridge.Order{Picture: routes(2, route("other", "/o/", all("a")))}), mallowbridge.Deny)
+	if d.Bad || d.Late {
+		t.Errorf("%+v", d)
+	}
+}
+
+func TestRosterChanges(t *testing.T) {
+	r := routed(routes(1, route("k", "/", all("a"))), row("i1", "a"))
+	d := one(t, get(r, settled, "q1", "/x"), mallowbridge.Place)
+	r.Step(settled, mallowbridge.Leave{Request: "q1", Go: d.Go})
+	r.Step(settled, mallowbridge.Head{Request: "q1", Go: d.Go})
+	r.Step(settled, mallowbridge.End{Request: "q1", Go: d.Go, How: mallowbridge.Whole})
+	at := settled + 100*time.Millisecond
+	if d = one(t, get(r, at, "q2", "/x"), mallowbridge.Place); d.Confirmed != 400 {
+		t.Errorf("kept parts: %+v", d)
+	}
+	newer := row("i1", "a")
+	newer.Weights = "2"
+	r.Step(at, mallowbridge.Roster{Rows: []mallowbridge.Instance{newer}})
+	if d = one(t, get(r, at, "q3", "/x"), mallowbridge.Place); d.Confirmed+d.Predicted != 0 {
+		t.Errorf("kept parts of other weights: %+v", d)
+	}
+	r.Step(at, mallowbridge.Roster{Rows: []mallowbridge.Instance{row("i0", "a")}, Age: time.Second})
+	if d = one(t, get(r, at, "q4", "/x"), mallowbridge.Place); d.Instance != "i1" {
+		t.Errorf("an older roster came into force: %+v", d)
+	}
+	leaving := newer
+	leaving.Leaving = true
+	r.Step(at, mallowbridge.Roster{Rows: []mallowbridge.Instance{leaving, row("i2", "a")}})
+	for i := range 4 {
+		if d = one(t, get(r, at, fmt.Sprint("l", i), "/x"), mallowbridge.Place); d.Instance != "i2" {
+			t.Errorf("placed on one that is leaving: %+v", d)
+		}
+	}
+	r.Step(at, mallowbridge.Misplaced{Replica: "i2"})
+	r.Step(at, mallowbridge.Roster{Rows: []mallowbridge.Instance{leaving, row("i2", "a")}})
+	if ds := get(r, at, "q5", "/x"); len(ds) != 0 {
+		t.Errorf("placed where another instance answers: %+v", ds)
+	}
+	d = one(t, r.Step(at, mallowbridge.Roster{Rows: []mallowbridge.Instance{row("i3", "a")}}), mallowbridge.Place)
+	if d.Instance != "i3" || d.Request != "q5" {
+		t.Errorf("%+v", d)
+	}
+}
+
+func TestRowsOfInstancesLongGoneAreUsedAgain(t *testing.T) {
+	r := routed(routes(1, route("k", "/", all("a"))), row("i0", "a"))
+	for i := range 50 {
+		at := settled + time.Duration(i)*20*time.Second
+		r.Step(at, mallowbridge.Roster{Rows: []mallowbridge.Instance{row(fmt.Sprint("i", i), "a")}})
+		if d := one(t, get(r, at, fmt.Sprint("q", i), "/x"), mallowbridge.Place); d.Instance != fmt.Sprint("i", i) {
+			t.Fatalf("%d: %+v", i, d)
+		}
+		r.Step(at, mallowbridge.Hangup{Request: fmt.Sprint("q", i)})
+	}
+	if r.Rows() > 3 {
+		t.Errorf("%d rows for one replica", r.Rows())
+	}
+}
+
+func TestKindsOfRoutesLongGoneAreUsedAgain(t *testing.T) {
+	r := routed(routes(1, route("k", "/", all("a"))), row("i", "a"))
+	for i := range 50 {
+		name := fmt.Sprint("k", i)
+		r.Step(settled, mallowbridge.Order{Picture: routes(uint64(2+i), route(name, "/"+name+"/", all("a")))})
+		d := one(t, get(r, settled, name, "/"+name+"/"), mallowbridge.Place)
+		r.Step(settled, mallowbridge.Leave{Request: name, Go: d.Go})
+		r.Step(settled, mallowbridge.End{Request: name, Go: d.Go, How: mallowbridge.Whole})
+	}
+	if r.Kinds() > 3 {
+		t.Errorf("%d kinds for one route", r.Kinds())
+	}
+}
+
+func TestADomainTakenBackIsCold(t *testing.T) {
+	p := routes(1, route("k", "/", all("a")))
+	p.Emptied = []string{"a"}
+	r := routed(p, row("i", "a"))
+	if ds := get(r, settled, "q0", "/x"); len(ds) > 0 {
+		t.Fatalf("placed in an emptied domain: %+v", ds)
+	}
+	n := 0
+	for i, d := range r.Step(settled, mallowbridge.Order{Picture: routes(2, route("k", "/", all("a")))}) {
+		n += i + 1
+		one(t, []mallowbridge.Decision{d}, mallowbridge.Place)
+	}
+	for i := range 7 {
+		n += len(get(r, settled, fmt.Sprint("q1", i), "/x"))
+	}
+	if n != 1 {
+		t.Errorf("%d starts at once on a replica that may be cold", n)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -25,6 +25,20 @@
 type seat struct {
 	name, addr, instance string
 	listing              string
+
+	discovered bool
+	row        Instance
+	gone       time.Duration
+}
+
+type asked struct {
+	request string
+	route   *charter.Route
+}
+
+type kindKey struct {
+	name  string
+	route bool
 }
 
 type Router struct {
@@ -32,11 +46,15 @@
 	m      *bid.Market
 	pic    *charter.Picture
 	offers map[string]int
-	kinds  []map[string]int
+	kinds  []map[kindKey]int
 	reps   map[string]int
 	seats  []seat
 	asks   map[string]int
-	names  map[int]string
+	names  map[int]asked
+	hosts  map[string][]*charter.Route
+	roster Roster
+	read   time.Duration
+	listed bool
 	once   *once
 	front  string
 }
@@ -44,7 +62,7 @@
 func New(cfg Config) (r *Router) {
 	return &Router{
 		cfg: cfg, m: bid.New(cfg.Market), offers: map[string]int{}, reps: map[string]int{},
-		asks: map[string]int{}, names: map[int]string{}, once: newOnce(cfg.OnceFor, cfg.OnceMax),
+		asks: map[string]int{}, names: map[int]asked{}, once: newOnce(cfg.OnceFor, cfg.OnceMax),
 		front: cfg.Self + "." + cfg.Boot + ".",
 	}
 }
@@ -81,6 +99,9 @@
 	return r.seats[id].instance
 }
 
+// Next is when the router needs the time again without an event, if ever.
+func (r *Router) Next(now time.Duration) (at time.Duration, any bool) { return r.m.Next(now) }
+
 func (r *Router) Running() (n int) { return len(r.asks) }
 
 func (r *Router) Unsent() (n int) { return r.m.Unsent() }
@@ -99,6 +120,16 @@
 		r.listing(now, e)
 	case Usage:
 		r.usage(now, e)
+	case Roster:
+		r.roll(now, e)
+	case Load:
+		if id, ok := r.reps[e.Replica]; ok {
+			r.m.Told(now, id, e.Running+e.Waiting)
+		}
+	case Misplaced:
+		if id, ok := r.reps[e.Replica]; ok {
+			r.m.Reps[id].Up = false
+		}
 	case Doubt:
 		if id, ok := r.reps[e.Replica]; ok {
 			r.m.Reps[id].Doubt = now
@@ -107,6 +138,9 @@
 		r.m.SetRouters(now, e.rows(r.cfg.Domain))
 	case Welcome:
 		r.cfg.Self, r.cfg.Domain = e.Self, e.Domain
+		for i := range r.m.Reps {
+			r.m.Reps[i].Near = r.m.Reps[i].Domain == e.Domain
+		}
 		r.m.SetSelf(now, e.Self, e.Domain)
 	case Feed:
 		r.m.Feed(now, e.Why)
@@ -166,50 +200,9 @@
 	if !ok {
 		return
 	}
-	if rep := r.m.Rep(id); rep >= 0 && e.InstanceID != "" {
+	if rep := r.m.Rep(id); rep >= 0 && e.InstanceID != "" && !r.seats[rep].discovered {
 		g, _ := r.goSeq(e.Go)
 		r.instance(now, rep, e.InstanceID, 0, g)
 	}
 	r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Head(now, id, g) })
 }
-
-func (r *Router) render(now time.Duration, acts []bid.Act) (out []Decision) {
-	for _, a := range acts {
-		d := Decision{Verdict: verdicts[a.Kind], Request: r.names[a.Ask], Why: a.Why, After: a.After, Late: a.Late, Confirmed: a.Conf, Predicted: a.Pred}
-		if a.Go != 0 {
-			d.Go = r.goName(a.Go)
-		}
-		if a.Rep >= 0 {
-			d.Replica, d.Addr = r.seats[a.Rep].name, r.seats[a.Rep].addr
-		}
-		d.Once, d.Repeat, d.Spare = a.Once, a.Repeat, a.Spare
-		if a.Kind == bid.Place && a.Pre >= 0 {
-			d.Prefill = r.seats[a.Pre].addr
-		}
-		switch a.Kind {
-		case bid.Send:
-			r.once.note(now, d.Request)
-		case bid.Deny:
-			if !a.Repeat {
-				r.once.drop(d.Request)
-			}
-			r.forget(a.Ask)
-		case bid.Done, bid.Unknown, bid.Partial:
-			r.forget(a.Ask)
-		}
-		out = append(out, d)
-	}
-	return out
-}
-
-var verdicts = map[bid.ActKind]Verdict{
-	bid.Place: Place, bid.Send: Send, bid.Recall: Recall, bid.Deny: Deny, bid.Cancel: Cancel,
-	bid.Unknown: Unknown, bid.Partial: Partial, bid.Done: Done, bid.Peek: Peek,
-}
-
-func (r *Router) forget(id int) {
-	if name, ok := r.names[id]; ok {
-		delete(r.asks, name)
-		delete(r.names, id)
-	}
-}
