--- /dev/null
+++ b/slope/clock.go
@@ -0,0 +1,32 @@
+package slope
+
+import (
+	"runtime"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ThreadClock is the processor time of the calling goroutine's thread, which it keeps from then on: what others on the machine
+// take does not count. Reading it twice costs that much itself, and so much is taken off.
+func ThreadClock() (clock func() (t time.Duration)) {
+	runtime.LockOSThread()
+	read := func() (t time.Duration) {
+		var ts unix.Timespec
+		if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &ts); err != nil {
+			panic(err)
+		}
+		return time.Duration(ts.Nano())
+	}
+	const tries = 20000
+	from := read()
+	for range tries - 1 {
+		read()
+	}
+	each := (read() - from) / tries
+	taken := time.Duration(0)
+	return func() (t time.Duration) {
+		taken += each
+		return read() - taken
+	}
+}
--- /dev/null
+++ b/slope/conn.go
@@ -0,0 +1,81 @@
+package slope
+
+import (
+	"bytes"
+	"runtime"
+	"sync"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/rumor"
+	"github.com/mallowbridge/mallowbridge/wire"
+)
+
+func usual() (msgs []any) {
+	return []any{
+		kin.Ping{Seq: 1, Name: "n"}, kin.Ack{Seq: 1}, rumor.Sum{Hash: 1, N: 1},
+		rumor.Marks{Marks: []rumor.KeyMark{{Key: "k", Mark: rumor.Mark{Hi: 1, Lo: 1}}}}, rumor.Want{Keys: []string{"k"}},
+		rumor.News{Items: []rumor.Item{
+			{Key: "k", Mark: rumor.Mark{Hi: 1}, Data: kin.Member{Name: "n"}},
+			{Key: "u", Mark: rumor.Mark{Hi: 1}, Data: crux.Usages{Domain: "a", Rows: []mallowbridge.Usage{{Replica: "r", Running: 1}}}},
+		}},
+	}
+}
+
+type conn struct {
+	w   *wire.Writer
+	buf bytes.Buffer
+	r   *wire.Reader
+}
+
+func open() (c *conn, frames int) {
+	c = &conn{w: wire.NewWriter()}
+	c.r = wire.NewReader(&c.buf)
+	for _, m := range usual() {
+		frame, err := c.w.Frame(m)
+		if err != nil {
+			panic(err)
+		}
+		frames += len(frame)
+		c.buf.Write(frame)
+		if _, err = c.r.Next(); err != nil {
+			panic(err)
+		}
+	}
+	return c, frames
+}
+
+// Opening is what the first frames of a connection cost beyond the same frames later: they describe their types.
+func Opening() (bytes int) {
+	c, first := open()
+	later := 0
+	for _, m := range usual() {
+		frame, err := c.w.Frame(m)
+		if err != nil {
+			panic(err)
+		}
+		later += len(frame)
+	}
+	return first - later
+}
+
+// connBytes is the heap that a connection's coders hold, both ways, once they have carried the usual kinds.
+var connBytes = sync.OnceValue(func() (bytes uint64) {
+	const many = 200
+	var before, after runtime.MemStats
+	cs := make([]*conn, many)
+	cs[0], _ = open()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range cs {
+		cs[i], _ = open()
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(cs)
+	return (after.HeapAlloc - before.HeapAlloc) / many
+})
+
+// ConnBytes is the heap that the coders of one connection hold.
+func ConnBytes() (bytes uint64) { return connBytes() }
--- /dev/null
+++ b/slope/count_test.go
@@ -0,0 +1,115 @@
+package slope
+
+import (
+	"testing"
+	"time"
+)
+
+// Three nodes with disks, a zone each, and one replica in the first zone. Ticks are 50 ms apart.
+//
+// Failure detector: each node watches both others. An answer takes some milliseconds and the next ping is due 400 ms after it,
+// so at the tick 450 ms after the last: 40 in 18 s to each of two, and as many answers to theirs.
+// Usage: n1 is the only node of the replica's zone, holds the duty, and tells one node of each other zone once a second; they have
+// nobody near to pass it on to. Claims: n1 renews once a second with the three voters, one of which is itself. Probes: every 250 ms.
+func TestCountsOfThreeNodes(t *testing.T) {
+	ticks := time.Duration(0)
+	p := Plan{
+		Nodes: 3, Replicas: 1, Disks: 3, Models: 1, Zones: []string{"a1", "b1", "a2"}, Warm: 15 * time.Second, Lasts: 18 * time.Second, Seed: 1,
+		Clock: func() (t time.Duration) {
+			ticks += time.Microsecond
+			return ticks
+		},
+	}
+	r := p.Run()
+	if r.Ready != 3 {
+		t.Fatalf("%d of 3 nodes serve", r.Ready)
+	}
+	type count struct{ sent, received, asks uint64 }
+	want := map[Mechanism][]count{
+		Watching: {{160, 160, 0}, {160, 160, 0}, {160, 160, 0}},
+		Usage:    {{36, 0, 0}, {0, 18, 0}, {0, 18, 0}},
+		Claims:   {{36, 36, 0}, {18, 18, 0}, {18, 18, 0}},
+		Probes:   {{0, 0, 72}, {0, 0, 0}, {0, 0, 0}},
+		Register: {{0, 0, 0}, {0, 0, 0}, {0, 0, 0}},
+		Config:   {{0, 0, 0}, {0, 0, 0}, {0, 0, 0}},
+		Members:  {{0, 0, 0}, {0, 0, 0}, {0, 0, 0}},
+	}
+	for m, counts := range want {
+		for i, c := range counts {
+			got := r.Costs.Of(r.Nodes[i], m)
+			if (count{got.Sent, got.Received, got.Asks}) != c {
+				t.Errorf("%s of %s: got sent %d, received %d, asks %d, want %+v", m, r.Nodes[i].Name, got.Sent, got.Received, got.Asks, c)
+			}
+		}
+	}
+}
+
+// A tick is two inputs every 50 ms, one to each machine, each timed by two looks at a clock that goes a microsecond a look. Its
+// answer is one Feed to the router.
+func TestTimeOfTicks(t *testing.T) {
+	ticks := time.Duration(0)
+	p := Plan{Nodes: 3, Replicas: 1, Disks: 3, Models: 1, Zones: []string{"a1", "b1", "a2"}, Warm: 15 * time.Second, Lasts: 10 * time.Second, Seed: 1,
+		Clock: func() (t time.Duration) {
+			ticks += time.Microsecond
+			return ticks
+		},
+	}
+	r := p.Run()
+	for _, n := range r.Nodes {
+		if got := r.Costs.Of(n, Ticks).Step; got != 200*time.Microsecond {
+			t.Errorf("control ticks of %s took %s, want 200 looks", n.Name, got)
+		}
+		if got := r.Costs.Of(n, RouterTick).Step; got != 400*time.Microsecond {
+			t.Errorf("router ticks and feeds of %s took %s, want 400 looks", n.Name, got)
+		}
+	}
+}
+
+func TestBytesAddUp(t *testing.T) {
+	p := Plan{Nodes: 5, Replicas: 5, Disks: 3, Models: 1, Zones: []string{"a1", "b1", "a2"}, Rate: 20, Prefixes: 5, Changes: 1, Warm: 12 * time.Second, Lasts: 5 * time.Second, Seed: 1,
+		Clock: func() (t time.Duration) { return 0 }}
+	r := p.Run()
+	var sent, zones, regions uint64
+	for _, n := range r.Nodes {
+		all := r.Costs.Total(n, func(Mechanism) (yes bool) { return true })
+		sent, zones, regions = sent+all.BytesSent, zones+all.AcrossZones, regions+all.AcrossRegions
+		if other := r.Costs.Of(n, Other); other.Sent > 0 {
+			t.Errorf("%s sent %d messages of no mechanism", n.Name, other.Sent)
+		}
+	}
+	if sent == 0 || regions == 0 || regions >= zones || zones >= sent {
+		t.Errorf("sent %d, to other zones %d, to the other region %d", sent, zones, regions)
+	}
+	if len(r.Puts) != 5 {
+		t.Errorf("%d changes in force everywhere, want 5 in 5 s", len(r.Puts))
+	}
+	if r.Ends["done"] < 80 {
+		t.Errorf("ends %v, want most of 100 requests done", r.Ends)
+	}
+}
+
+func TestPartKeepsProportions(t *testing.T) {
+	p := Part(37)
+	if p.Replicas != 60 || p.Rate != 380 || p.Nodes != 37 || p.Disks != 4 {
+		t.Errorf("a tenth of the target is %+v", p)
+	}
+}
+
+func TestStateGrowsWithWhatIsHeld(t *testing.T) {
+	l := newLone(func() (t time.Duration) { return 0 }, unbounded)
+	before := State(l.node)
+	for i := range 1000 {
+		l.request(i, prefixes(i))
+	}
+	after := State(l.node)
+	if l.done != 1000 {
+		t.Fatalf("%d of 1000 requests done", l.done)
+	}
+	parts := 1001.0
+	if each := float64(after[Index]-before[Index]) / parts; each < 100 || each > 400 {
+		t.Errorf("a part that is held takes %.0f bytes, want 100 to 400", each)
+	}
+	if after[Watching] != before[Watching] || after[Config] != before[Config] {
+		t.Errorf("requests changed state of other mechanisms: %v, then %v", before, after)
+	}
+}
--- /dev/null
+++ b/slope/fit.go
@@ -0,0 +1,108 @@
+package slope
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Fit is a straight line through the points of one measure, and the power of x that they go with.
+type Fit struct {
+	Sweep     string    `json:"sweep"`
+	Role      Role      `json:"role"`
+	Mechanism Mechanism `json:"mechanism"`
+	Measure   Measure   `json:"measure"`
+	// Of is the mean or the worst node.
+	Of     string  `json:"of"`
+	Points int     `json:"points"`
+	From   float64 `json:"from"`
+	To     float64 `json:"to"`
+	Base   float64 `json:"base"`
+	Slope  float64 `json:"slope"`
+	R2     float64 `json:"r2"`
+	// Residual is the root mean square of what the line misses, as a share of the points' mean; Worst is the most it misses.
+	Residual float64 `json:"residual"`
+	Worst    float64 `json:"worst"`
+	// Power is the exponent of x in the best c·x^p, and PowerResidual what that misses; 0 where a point is naught.
+	Power         float64 `json:"power"`
+	Factor        float64 `json:"factor"`
+	PowerResidual float64 `json:"powerResidual"`
+	Last          float64 `json:"last"`
+}
+
+// At is the line's value at x, or the power's where that misses less than half as much.
+func (f Fit) At(x float64) (y float64) {
+	if f.ByPower() {
+		return f.Factor * math.Pow(x, f.Power)
+	}
+	return f.Base + f.Slope*x
+}
+
+// ByPower tells whether the points go with a power of x rather than with a line.
+func (f Fit) ByPower() (yes bool) { return f.Power != 0 && f.PowerResidual < f.Residual/2 }
+
+func misses(xs, ys []float64, at func(x float64) (y float64)) (rms, worst float64) {
+	mean := stat.Mean(ys, nil)
+	for i := range xs {
+		miss := math.Abs(ys[i]-at(xs[i])) / mean
+		rms += miss * miss
+		worst = max(worst, miss)
+	}
+	return math.Sqrt(rms / float64(len(xs))), worst
+}
+
+// Line fits one series; fewer than three points or no positive one give none.
+func Line(xs, ys []float64) (f Fit, ok bool) {
+	if len(xs) < 3 || stat.Mean(ys, nil) <= 0 {
+		return f, false
+	}
+	f.Points, f.From, f.To, f.Last = len(xs), xs[0], xs[len(xs)-1], ys[len(ys)-1]
+	f.Base, f.Slope = stat.LinearRegression(xs, ys, nil, false)
+	f.R2 = stat.RSquared(xs, ys, nil, f.Base, f.Slope)
+	if math.IsNaN(f.R2) || math.IsInf(f.R2, 0) {
+		f.R2 = 1
+	}
+	f.Residual, f.Worst = misses(xs, ys, func(x float64) float64 { return f.Base + f.Slope*x })
+	var lx, ly []float64
+	for i := range xs {
+		if xs[i] <= 0 || ys[i] <= 0 {
+			return f, true
+		}
+		lx, ly = append(lx, math.Log(xs[i])), append(ly, math.Log(ys[i]))
+	}
+	c, p := stat.LinearRegression(lx, ly, nil, false)
+	f.Factor, f.Power = math.Exp(c), p
+	f.PowerResidual, _ = misses(xs, ys, func(x float64) float64 { return f.Factor * math.Pow(x, p) })
+	return f, true
+}
+
+type series struct {
+	role      Role
+	mechanism Mechanism
+	measure   Measure
+}
+
+// Fits are lines through all series of a sweep's points, which come in order of x.
+func Fits(ps []Point) (fs []Fit) {
+	xs, mean, worst := map[series][]float64{}, map[series][]float64{}, map[series][]float64{}
+	var order []series
+	for _, p := range ps {
+		s := series{p.Role, p.Mechanism, p.Measure}
+		if xs[s] == nil {
+			order = append(order, s)
+		}
+		xs[s], mean[s], worst[s] = append(xs[s], p.X), append(mean[s], p.Mean), append(worst[s], p.Worst)
+	}
+	for _, s := range order {
+		for _, of := range []string{"mean", "worst"} {
+			ys := map[string][]float64{"mean": mean[s], "worst": worst[s]}[of]
+			f, ok := Line(xs[s], ys)
+			if !ok {
+				continue
+			}
+			f.Sweep, f.Role, f.Mechanism, f.Measure, f.Of = ps[0].Sweep, s.role, s.mechanism, s.measure, of
+			fs = append(fs, f)
+		}
+	}
+	return fs
+}
--- /dev/null
+++ b/slope/mechanism.go
@@ -0,0 +1,187 @@
+// Package slope measures what the machines of a fleet cost as the fleet grows, and fits lines through it.
+package slope
+
+import (
+	"reflect"
+	"strings"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/pact"
+	"github.com/mallowbridge/mallowbridge/rumor"
+	"github.com/mallowbridge/mallowbridge/stage"
+	"github.com/mallowbridge/mallowbridge/term"
+)
+
+// Mechanism is what a cost is for.
+type Mechanism string
+
+const (
+	Watching   Mechanism = "failure detector"
+	Members    Mechanism = "news of members"
+	Usage      Mechanism = "news of usage"
+	Listings   Mechanism = "news of listings"
+	Config     Mechanism = "configuration"
+	Register   Mechanism = "register"
+	Claims     Mechanism = "claims"
+	Digests    Mechanism = "anti-entropy"
+	Witnesses  Mechanism = "witnesses"
+	Probes     Mechanism = "replica probes"
+	Ticks      Mechanism = "control tick"
+	Division   Mechanism = "division of room"
+	RouterTick Mechanism = "router tick"
+	Requests   Mechanism = "requests"
+	Index      Mechanism = "prefix index"
+	Conns      Mechanism = "connections"
+	Other      Mechanism = "other"
+)
+
+// Control tells whether a mechanism runs without requests and so counts against the budget for control.
+func (m Mechanism) Control() (yes bool) {
+	return m != Requests && m != Index && m != Witnesses
+}
+
+func ofMessage(msg any) (m Mechanism) {
+	switch v := msg.(type) {
+	case kin.Ping, kin.Ack, kin.PingFor:
+		return Watching
+	case rumor.Sum, rumor.Marks, rumor.Want:
+		return Digests
+	case rumor.Tell:
+		return Config
+	case rumor.News:
+		return ofNews(v)
+	case pact.Prepare, pact.Promise, pact.Accept, pact.Accepted:
+		return Register
+	case term.Ask, term.Grant, term.Drop:
+		return Claims
+	case crux.WitnessAsk, crux.WitnessSay, crux.WitnessForget:
+		return Witnesses
+	}
+	return Other
+}
+
+// ofNews takes news for what weighs most in it; an empty answer belongs to the digest that asked for it.
+func ofNews(n rumor.News) (m Mechanism) {
+	most := 0
+	m = Digests
+	for _, kind := range []Mechanism{Members, Usage, Config, Listings, Other} {
+		weight := 0
+		for _, it := range n.Items {
+			if ofItem(it) == kind {
+				weight += itemWeight(it)
+			}
+		}
+		if weight > most {
+			m, most = kind, weight
+		}
+	}
+	return m
+}
+
+func ofItem(it rumor.Item) (m Mechanism) {
+	switch it.Data.(type) {
+	case kin.Member:
+		return Members
+	case crux.Usages:
+		return Usage
+	case *pact.Value:
+		return Config
+	case crux.Listing, crux.Roster, crux.Reading:
+		return Listings
+	}
+	return Other
+}
+
+func itemWeight(it rumor.Item) (w int) {
+	switch d := it.Data.(type) {
+	case crux.Usages:
+		return 40 * (1 + len(d.Rows))
+	case *pact.Value:
+		return 200 + d.Size()
+	case crux.Roster:
+		return d.Size()
+	}
+	return 80
+}
+
+func ofInput(in any) (m Mechanism) {
+	switch v := in.(type) {
+	case crux.Recv:
+		return ofMessage(v.Msg)
+	case crux.Tick:
+		return Ticks
+	case crux.Saved:
+		return Register
+	case crux.Probed, crux.Sighted:
+		return Probes
+	case crux.ListRead, mallowbridge.Listing, mallowbridge.Roster:
+		return Listings
+	case crux.Command:
+		return ofCommand(v.Op)
+	case mallowbridge.Tick, mallowbridge.Feed:
+		return RouterTick
+	case mallowbridge.Usage, mallowbridge.Doubt:
+		return Usage
+	case mallowbridge.Routers:
+		return Division
+	case mallowbridge.Order:
+		return Config
+	case mallowbridge.Arrive, mallowbridge.Leave, mallowbridge.Head, mallowbridge.Piece, mallowbridge.End, mallowbridge.Hangup, mallowbridge.Withhold,
+		mallowbridge.Load, mallowbridge.Misplaced:
+		return Requests
+	}
+	return Other
+}
+
+func ofCommand(op crux.Op) (m Mechanism) {
+	switch op.(type) {
+	case crux.Witness:
+		return Witnesses
+	case crux.Listed:
+		return Listings
+	case crux.Put, crux.Edit, crux.Get, crux.Found, crux.Swap, crux.Empty:
+		return Register
+	}
+	return Other
+}
+
+// fields says which mechanism a field of the two machines is state of; what is not named is Other.
+var fields = map[string]Mechanism{
+	"crux.Node.Kin": Watching, "crux.Node.Rumor": Digests, "crux.Node.prop": Register, "crux.Node.voter": Register, "crux.Node.value": Config,
+	"crux.Node.pic": Config, "crux.Node.where": Config, "crux.Node.grants": Claims, "crux.Node.hold": Claims, "crux.Node.duties": Usage,
+	"crux.Node.sights": Probes, "crux.Node.told": Listings, "crux.Node.lists": Listings, "crux.Node.witness": Witnesses, "crux.Node.routers": Division,
+	"mallowbridge.Router.pic": Config, "mallowbridge.Router.offers": Config, "mallowbridge.Router.kinds": Config,
+	"mallowbridge.Router.reps": Config, "mallowbridge.Router.seats": Config, "mallowbridge.Router.asks": Requests,
+	"mallowbridge.Router.names": Requests, "mallowbridge.Router.once": Requests,
+	"bid.Market.Index": Index, "bid.Market.Asks": Requests, "bid.Market.Offers": Config, "bid.Market.Reps": Usage,
+	"bid.Market.routers": Division, "bid.Market.rows": Division, "bid.Market.divs": Division, "bid.Market.waiting": Requests,
+}
+
+// State is a node's bytes of state by mechanism. What several mechanisms share counts for the first.
+func State(n *stage.HollowNode) (bytes map[Mechanism]uint64) {
+	bytes = map[Mechanism]uint64{}
+	w := newWalk()
+	parts := []reflect.Value{reflect.ValueOf(n.Control).Elem(), reflect.ValueOf(n.Router).Elem()}
+	for len(parts) > 0 {
+		v := parts[0]
+		parts = parts[1:]
+		if !v.IsValid() {
+			continue
+		}
+		for i := range v.NumField() {
+			f := v.Type().Field(i)
+			if f.Type.Kind() == reflect.Pointer && strings.HasSuffix(f.Type.String(), "bid.Market") {
+				parts = append(parts, v.Field(i).Elem())
+				continue
+			}
+			m, known := fields[v.Type().String()+"."+f.Name]
+			if !known {
+				m = Other
+			}
+			bytes[m] += uint64(f.Type.Size()) + w.beyond(v.Field(i))
+		}
+	}
+	return bytes
+}
--- /dev/null
+++ b/slope/meter.go
@@ -0,0 +1,98 @@
+package slope
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/stage"
+)
+
+// Cost is what one mechanism cost one node.
+type Cost struct {
+	Sent, Received           uint64
+	BytesSent, BytesReceived uint64
+	// AcrossZones and AcrossRegions are the parts of BytesSent that left the sender's.
+	AcrossZones, AcrossRegions uint64
+	// Step is the machines' own time, Frames is that for encoding and decoding.
+	Step, Frames time.Duration
+	Asks, Writes uint64
+}
+
+func (c *Cost) add(o Cost) {
+	c.Sent, c.Received = c.Sent+o.Sent, c.Received+o.Received
+	c.BytesSent, c.BytesReceived = c.BytesSent+o.BytesSent, c.BytesReceived+o.BytesReceived
+	c.AcrossZones, c.AcrossRegions = c.AcrossZones+o.AcrossZones, c.AcrossRegions+o.AcrossRegions
+	c.Step, c.Frames = c.Step+o.Step, c.Frames+o.Frames
+	c.Asks, c.Writes = c.Asks+o.Asks, c.Writes+o.Writes
+}
+
+// Costs are a fleet's, by node and mechanism.
+type Costs struct {
+	by    map[*stage.HollowNode]map[Mechanism]*Cost
+	peers map[[2]*stage.HollowNode]bool
+}
+
+func NewCosts() (c *Costs) {
+	return &Costs{by: map[*stage.HollowNode]map[Mechanism]*Cost{}, peers: map[[2]*stage.HollowNode]bool{}}
+}
+
+// Reset forgets what was counted, but not who spoke with whom.
+func (c *Costs) Reset() { c.by = map[*stage.HollowNode]map[Mechanism]*Cost{} }
+
+func (c *Costs) of(n *stage.HollowNode, m Mechanism) (cost *Cost) {
+	if c.by[n] == nil {
+		c.by[n] = map[Mechanism]*Cost{}
+	}
+	if c.by[n][m] == nil {
+		c.by[n][m] = &Cost{}
+	}
+	return c.by[n][m]
+}
+
+// Region of a zone is its first letter.
+func Region(zone string) (region string) { return zone[:1] }
+
+func (c *Costs) Sent(from, to *stage.HollowNode, msg any, frame int, encode, decode time.Duration) {
+	m := ofMessage(msg)
+	s, r := c.of(from, m), c.of(to, m)
+	s.Sent, r.Received = s.Sent+1, r.Received+1
+	s.BytesSent, r.BytesReceived = s.BytesSent+uint64(frame), r.BytesReceived+uint64(frame)
+	s.Frames, r.Frames = s.Frames+encode, r.Frames+decode
+	if from.Domain != to.Domain {
+		s.AcrossZones += uint64(frame)
+	}
+	if Region(from.Domain) != Region(to.Domain) {
+		s.AcrossRegions += uint64(frame)
+	}
+	c.peers[[2]*stage.HollowNode{from, to}] = true
+}
+
+func (c *Costs) Stepped(n *stage.HollowNode, in any, took time.Duration) {
+	c.of(n, ofInput(in)).Step += took
+}
+
+func (c *Costs) Asked(n *stage.HollowNode) { c.of(n, Probes).Asks++ }
+
+func (c *Costs) Wrote(n *stage.HollowNode) { c.of(n, Register).Writes++ }
+
+// Total of a node, over the mechanisms that want is true for.
+func (c *Costs) Total(n *stage.HollowNode, want func(m Mechanism) (yes bool)) (t Cost) {
+	for m, cost := range c.by[n] {
+		if want(m) {
+			t.add(*cost)
+		}
+	}
+	return t
+}
+
+// Of is what one mechanism cost one node.
+func (c *Costs) Of(n *stage.HollowNode, m Mechanism) (cost Cost) { return *c.of(n, m) }
+
+// Peers are how many nodes this one sent to so far.
+func (c *Costs) Peers(n *stage.HollowNode) (count int) {
+	for p := range c.peers {
+		if p[0] == n {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/slope/note.go
@@ -0,0 +1,29 @@
+package slope
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+func quantile(ts []time.Duration, q float64) (t time.Duration) {
+	if len(ts) == 0 {
+		return 0
+	}
+	s := slices.Sorted(slices.Values(ts))
+	return s[min(int(q*float64(len(s))), len(s)-1)]
+}
+
+// Note says in a line how the fleet did.
+func (r *Result) Note() (line string) {
+	line = fmt.Sprintf("%d of %d nodes serve, %d replicas, %.0f requests/s, configuration of %d bytes", r.Ready, r.Plan.Nodes, r.Plan.Replicas, r.Plan.Rate, r.Body)
+	for _, how := range slices.Sorted(maps.Keys(r.Ends)) {
+		line += fmt.Sprintf(", %s %d", how, r.Ends[how])
+	}
+	line += fmt.Sprintf("; first token p50 %d ms p95 %d ms", quantile(r.Firsts, 0.5).Milliseconds(), quantile(r.Firsts, 0.95).Milliseconds())
+	if len(r.Puts) > 0 {
+		line += fmt.Sprintf("; %d changes in force everywhere after p50 %d ms, last %d ms", len(r.Puts), quantile(r.Puts, 0.5).Milliseconds(), quantile(r.Puts, 1).Milliseconds())
+	}
+	return line
+}
--- /dev/null
+++ b/slope/plot.go
@@ -0,0 +1,101 @@
+package slope
+
+import (
+	"image/color"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const drawn = 6
+
+// plots are the measures that are drawn, and under which name.
+var plots = []struct {
+	measure Measure
+	name    string
+}{
+	{BytesSent, "bytes"}, {Sent, "messages"}, {CPU, "processor"}, {StateBytes, "state"}, {AcrossRegions, "regions"},
+}
+
+// Draw writes a picture of each measure of a sweep: the mean node by mechanism, the worst node's sum, and their lines.
+func Draw(dir string, s Sweep, ps []Point, fs []Fit) (err error) {
+	for _, what := range plots {
+		p := plot.New()
+		p.Title.Text = s.Name + ": " + string(what.measure)
+		p.X.Label.Text, p.Y.Label.Text = s.Axis, string(what.measure)
+		p.X.Min, p.Y.Min = 0, 0
+		p.Legend.Top, p.Legend.Left = true, true
+		p.Add(plotter.NewGrid())
+		any := false
+		for i, m := range heaviest(ps, what.measure) {
+			any = true
+			if err = draw(p, ps, fs, m, what.measure, "mean", plotutil.Color(i)); err != nil {
+				return err
+			}
+		}
+		if !any {
+			continue
+		}
+		if err = draw(p, ps, fs, All, what.measure, "worst", color.Black); err != nil {
+			return err
+		}
+		file := filepath.Join(dir, s.Name+"-"+what.name+".svg")
+		if err = p.Save(7*vg.Inch, 4*vg.Inch, file); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+	}
+	return nil
+}
+
+func heaviest(ps []Point, what Measure) (ms []Mechanism) {
+	most := map[Mechanism]float64{}
+	for _, p := range ps {
+		if p.Role == Any && p.Measure == what && p.Mechanism != All && p.Mechanism != AllControl {
+			most[p.Mechanism] = max(most[p.Mechanism], p.Mean)
+		}
+	}
+	for m := range most {
+		ms = append(ms, m)
+	}
+	slices.SortFunc(ms, func(a, b Mechanism) (order int) {
+		switch {
+		case most[a] > most[b]:
+			return -1
+		case most[a] < most[b]:
+			return 1
+		}
+		return strings.Compare(string(a), string(b))
+	})
+	return ms[:min(drawn, len(ms))]
+}
+
+func draw(p *plot.Plot, ps []Point, fs []Fit, m Mechanism, what Measure, of string, c color.Color) (err error) {
+	var xys plotter.XYs
+	for _, pt := range ps {
+		if pt.Role == Any && pt.Mechanism == m && pt.Measure == what {
+			xys = append(xys, plotter.XY{X: pt.X, Y: map[string]float64{"mean": pt.Mean, "worst": pt.Worst}[of]})
+		}
+	}
+	dots, err := plotter.NewScatter(xys)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	dots.Color, dots.Radius = c, vg.Points(2.5)
+	p.Add(dots)
+	p.Legend.Add(string(m)+", "+of, dots)
+	for _, f := range fs {
+		if f.Role != Any || f.Mechanism != m || f.Measure != what || f.Of != of {
+			continue
+		}
+		line := plotter.NewFunction(f.At)
+		line.Color, line.XMin, line.XMax = c, f.From, f.To
+		p.Add(line)
+	}
+	return nil
+}
--- /dev/null
+++ b/slope/point.go
@@ -0,0 +1,133 @@
+package slope
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/stage"
+)
+
+// Role is a kind of node.
+type Role string
+
+const (
+	Any      Role = "any"
+	Disk     Role = "disk"
+	Diskless Role = "diskless"
+)
+
+// AllControl and All stand for sums in the place of a mechanism.
+const (
+	AllControl Mechanism = "all control"
+	All        Mechanism = "all"
+)
+
+// Measure is what is counted of a mechanism, for one node.
+type Measure string
+
+const (
+	StateBytes    Measure = "state, bytes"
+	Sent          Measure = "messages sent a second"
+	Received      Measure = "messages received a second"
+	BytesSent     Measure = "bytes sent a second"
+	BytesReceived Measure = "bytes received a second"
+	AcrossZones   Measure = "bytes sent to other zones a second"
+	AcrossRegions Measure = "bytes sent to the other region a second"
+	CPU           Measure = "processor, microseconds a second"
+	Frames        Measure = "of it frames, microseconds a second"
+	Asks          Measure = "replicas asked a second"
+	Writes        Measure = "entries synced a second"
+)
+
+func Measures() (ms []Measure) {
+	return []Measure{StateBytes, Sent, Received, BytesSent, BytesReceived, AcrossZones, AcrossRegions, CPU, Frames, Asks, Writes}
+}
+
+// Point is one measure of one mechanism at one x of a sweep: the mean node's and the worst node's.
+type Point struct {
+	Sweep     string    `json:"sweep"`
+	X         float64   `json:"x"`
+	Nodes     int       `json:"nodes"`
+	Replicas  int       `json:"replicas"`
+	Rate      float64   `json:"rate"`
+	Role      Role      `json:"role"`
+	Mechanism Mechanism `json:"mechanism"`
+	Measure   Measure   `json:"measure"`
+	Mean      float64   `json:"mean"`
+	Worst     float64   `json:"worst"`
+}
+
+func (c Cost) reads(lasts time.Duration) (vs map[Measure]float64) {
+	per := func(n uint64) (v float64) { return float64(n) / lasts.Seconds() }
+	return map[Measure]float64{
+		Sent: per(c.Sent), Received: per(c.Received), BytesSent: per(c.BytesSent), BytesReceived: per(c.BytesReceived),
+		AcrossZones: per(c.AcrossZones), AcrossRegions: per(c.AcrossRegions), CPU: per(uint64((c.Step + c.Frames).Nanoseconds())) / 1000,
+		Frames: per(uint64(c.Frames.Nanoseconds())) / 1000, Asks: per(c.Asks), Writes: per(c.Writes),
+	}
+}
+
+type reads map[Mechanism]map[Measure]float64
+
+func (v reads) add(m Mechanism, what map[Measure]float64) {
+	for _, sum := range []Mechanism{m, All, AllControl} {
+		if sum == AllControl && !m.Control() {
+			continue
+		}
+		if v[sum] == nil {
+			v[sum] = map[Measure]float64{}
+		}
+		for k, x := range what {
+			v[sum][k] += x
+		}
+	}
+}
+
+func (r *Result) reads(n *stage.HollowNode) (v reads) {
+	v = reads{}
+	for m, c := range r.Costs.by[n] {
+		v.add(m, c.reads(r.Plan.Lasts))
+	}
+	for m, b := range State(n) {
+		v.add(m, map[Measure]float64{StateBytes: float64(b)})
+	}
+	v.add(Conns, map[Measure]float64{StateBytes: float64(r.Costs.Peers(n)) * float64(connBytes())})
+	return v
+}
+
+// Points are the result's, for each role, mechanism and measure that is not naught.
+func (r *Result) Points(sweep string, x float64) (ps []Point) {
+	roles := map[Role][]reads{}
+	for _, n := range r.Nodes {
+		v, role := r.reads(n), Diskless
+		if n.Disk != nil {
+			role = Disk
+		}
+		roles[role], roles[Any] = append(roles[role], v), append(roles[Any], v)
+	}
+	for _, role := range []Role{Any, Disk, Diskless} {
+		for _, m := range mechanisms(roles[role]) {
+			for _, what := range Measures() {
+				p := Point{Sweep: sweep, X: x, Nodes: r.Plan.Nodes, Replicas: r.Plan.Replicas, Rate: r.Plan.Rate, Role: role, Mechanism: m, Measure: what}
+				for _, v := range roles[role] {
+					p.Mean += v[m][what] / float64(len(roles[role]))
+					p.Worst = max(p.Worst, v[m][what])
+				}
+				if p.Worst > 0 {
+					ps = append(ps, p)
+				}
+			}
+		}
+	}
+	return ps
+}
+
+func mechanisms(vs []reads) (ms []Mechanism) {
+	all := map[Mechanism]bool{}
+	for _, v := range vs {
+		for m := range v {
+			all[m] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
--- /dev/null
+++ b/slope/run.go
@@ -0,0 +1,96 @@
+package slope
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/stage"
+)
+
+// Plan is one fleet to be measured.
+type Plan struct {
+	Nodes, Replicas, Disks, Models int
+	Zones                          []string
+	// Rate is requests a second over the whole fleet.
+	Rate     float64
+	Prefixes int
+	// ConfigBytes pads the configuration; 0: as large as its replicas make it. Changes are puts a second.
+	ConfigBytes int
+	Changes     float64
+	Far         time.Duration
+	Warm, Lasts time.Duration
+	Seed        uint64
+	Clock       func() (t time.Duration)
+}
+
+// Zones are eight in two regions, as the users will have them.
+func Zones() (zones []string) { return []string{"a1", "b1", "a2", "b2", "a3", "b3", "a4", "b4"} }
+
+// Target is the size that the users need.
+func Target() (p Plan) {
+	return Plan{
+		Nodes: 370, Replicas: 600, Disks: 4, Models: 15, Zones: Zones(), Rate: 3800, Prefixes: 60, Warm: 15 * time.Second, Lasts: 10 * time.Second, Seed: 1,
+	}
+}
+
+// Part is the target at another number of nodes, with replicas and requests to match.
+func Part(nodes int) (p Plan) {
+	p = Target()
+	t := p
+	p.Nodes = nodes
+	p.Replicas = (t.Replicas*nodes + t.Nodes/2) / t.Nodes
+	p.Rate = t.Rate * float64(nodes) / float64(t.Nodes)
+	return p
+}
+
+// Result is what one fleet's run showed.
+type Result struct {
+	Plan   Plan
+	Costs  *Costs
+	Nodes  []*stage.HollowNode
+	Ready  int
+	Puts   []time.Duration
+	Firsts []time.Duration
+	Ends   map[string]int
+	// Body is the size of the configuration in force at the end.
+	Body int
+}
+
+// Run boots the fleet, lets it settle for Warm and counts for Lasts.
+func (p Plan) Run() (r Result) {
+	shape := stage.HollowShape(p.Nodes, p.Replicas, p.Disks, p.Models, p.Zones)
+	if p.ConfigBytes > 0 {
+		shape.Charter = stage.HollowBody(shape, 0, p.ConfigBytes)
+	}
+	m := stage.DefaultModel()
+	m.Room = stage.HollowRoom
+	plan := stage.HollowPlan{
+		Seed: p.Seed, Shape: shape, Model: m, Far: p.Far, Clock: p.Clock, Body: func(n int) (raw []byte) { return stage.HollowBody(shape, n, p.ConfigBytes) },
+	}
+	if p.Changes > 0 {
+		plan.PutEvery = time.Duration(float64(time.Second) / p.Changes)
+	}
+	if p.Rate > 0 {
+		src := stage.NewSource(stage.Load{Kinds: shape.Kinds, Rate: p.Rate, Prefixes: p.Prefixes, HotShare: 0}, p.Seed, "q")
+		plan.Next = src.Next
+	}
+	r = Result{Plan: p, Costs: NewCosts(), Body: len(shape.Charter)}
+	plan.Meter = r.Costs
+	h := stage.NewHollow(plan)
+	h.Boot()
+	load := min(8*time.Second, p.Warm/2)
+	h.Run(load)
+	h.Load(p.Warm + p.Lasts)
+	h.Run(p.Warm)
+	r.Costs.Reset()
+	h.Puts, h.Firsts = nil, nil
+	clear(h.Ends)
+	h.Change()
+	h.Run(p.Warm + p.Lasts)
+	for _, n := range h.Nodes {
+		if n.Router.Ready(h.Now()) == "" {
+			r.Ready++
+		}
+	}
+	r.Nodes, r.Puts, r.Firsts, r.Ends = h.Nodes, h.Puts, h.Firsts, h.Ends
+	return r
+}
--- /dev/null
+++ b/slope/size.go
@@ -0,0 +1,132 @@
+package slope
+
+import "reflect"
+
+// A walk adds up what values hold on the heap, each block once.
+type walk struct{ seen map[uintptr]bool }
+
+func newWalk() (w *walk) { return &walk{seen: map[uintptr]bool{}} }
+
+// Size is what a value and all it holds take, as reckoned by its types: maps are taken at seven eighths of their slots.
+func Size(v any) (bytes uint64) {
+	r := reflect.ValueOf(v)
+	return uint64(r.Type().Size()) + newWalk().beyond(r)
+}
+
+func (w *walk) first(p uintptr) (yes bool) {
+	if p == 0 || w.seen[p] {
+		return false
+	}
+	w.seen[p] = true
+	return true
+}
+
+func flat(t reflect.Type) (yes bool) {
+	switch t.Kind() {
+	case reflect.Pointer, reflect.Map, reflect.Slice, reflect.String, reflect.Interface, reflect.Chan, reflect.Func, reflect.UnsafePointer:
+		return false
+	case reflect.Array:
+		return flat(t.Elem())
+	case reflect.Struct:
+		for i := range t.NumField() {
+			if !flat(t.Field(i).Type) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// class is the size that the allocator gives: a sixteenth more at most, beyond the smallest.
+func class(n uintptr) (bytes uint64) {
+	switch {
+	case n == 0:
+		return 0
+	case n <= 16:
+		return uint64(n+7) &^ 7
+	case n <= 256:
+		return uint64(n+15) &^ 15
+	}
+	return uint64(n) + uint64(n)/16
+}
+
+const (
+	mapHead  = 48
+	mapGroup = 8
+)
+
+func (w *walk) beyond(v reflect.Value) (bytes uint64) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() || !w.first(v.Pointer()) {
+			return 0
+		}
+		return class(v.Type().Elem().Size()) + w.beyond(v.Elem())
+	case reflect.Interface:
+		if v.IsNil() {
+			return 0
+		}
+		e := v.Elem()
+		if e.Kind() == reflect.Pointer || e.Kind() == reflect.Map {
+			return w.beyond(e)
+		}
+		return class(e.Type().Size()) + w.beyond(e)
+	case reflect.String:
+		return class(uintptr(v.Len()))
+	case reflect.Slice:
+		return w.slice(v)
+	case reflect.Map:
+		return w.table(v)
+	case reflect.Struct:
+		if flat(v.Type()) {
+			return 0
+		}
+		for i := range v.NumField() {
+			bytes += w.beyond(v.Field(i))
+		}
+	case reflect.Array:
+		if flat(v.Type()) {
+			return 0
+		}
+		for i := range v.Len() {
+			bytes += w.beyond(v.Index(i))
+		}
+	}
+	return bytes
+}
+
+func (w *walk) slice(v reflect.Value) (bytes uint64) {
+	if v.IsNil() || v.Cap() == 0 || !w.first(v.Pointer()) {
+		return 0
+	}
+	bytes = class(uintptr(v.Cap()) * v.Type().Elem().Size())
+	if flat(v.Type().Elem()) {
+		return bytes
+	}
+	for i := range v.Len() {
+		bytes += w.beyond(v.Index(i))
+	}
+	return bytes
+}
+
+func (w *walk) table(v reflect.Value) (bytes uint64) {
+	if v.IsNil() || !w.first(v.Pointer()) {
+		return 0
+	}
+	slots := uint64(mapGroup)
+	for slots*7/8 < uint64(v.Len()) {
+		slots *= 2
+	}
+	entry := uint64(v.Type().Key().Size() + v.Type().Elem().Size())
+	bytes = mapHead + slots*(entry+1)
+	keys, vals := !flat(v.Type().Key()), !flat(v.Type().Elem())
+	for it := v.MapRange(); (keys || vals) && it.Next(); {
+		if keys {
+			bytes += w.beyond(it.Key())
+		}
+		if vals {
+			bytes += w.beyond(it.Value())
+		}
+	}
+	return bytes
+}
--- /dev/null
+++ b/slope/solo.go
@@ -0,0 +1,123 @@
+package slope
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/rumor"
+	"github.com/mallowbridge/mallowbridge/stage"
+)
+
+const (
+	soloReplicas = 8
+	soloEvery    = time.Millisecond
+	unbounded    = 1 << 30
+)
+
+type headers func(i int) (prefix string)
+
+func prefixes(i int) (prefix string) { return fmt.Sprintf("sys/256,shared%d/512", i) }
+
+func sessions(i int) (prefix string) {
+	return fmt.Sprintf("sys/256,shared%d/512,session%d/512", i%100, i)
+}
+
+func tenants(i int) (prefix string) { return fmt.Sprintf("tenant%d/256,task/512", i) }
+
+func bounded(i int) (prefix string) { return sessions(i) }
+
+// solo takes x requests, each with a prefix of its own, one after another through one router.
+func solo(name, axis string, of headers) (s Sweep) {
+	keep := unbounded
+	if name == "bounded" {
+		keep = 65536
+	}
+	return Sweep{Name: name, Axis: axis, Xs: []float64{1000, 3000, 10000, 30000, 100000}, run: func(clock func() (t time.Duration), x float64) (ps []Point, note string) {
+		l := newLone(clock, keep)
+		for i := range int(x) {
+			l.request(i, of(i))
+		}
+		r := Result{Plan: Plan{Nodes: 1, Replicas: soloReplicas, Rate: 1 / soloEvery.Seconds(), Lasts: time.Second}, Costs: l.costs, Nodes: []*stage.HollowNode{l.node}}
+		c := l.costs.of(l.node, Requests)
+		each := c.Step / time.Duration(max(l.done, 1))
+		c.Step = each
+		return r.Points(name, x), fmt.Sprintf("%d of %d requests done, %s of processor each", l.done, int(x), each)
+	}}
+}
+
+// A lone router is given what its daemon and its connections would tell it.
+type lone struct {
+	node  *stage.HollowNode
+	costs *Costs
+	clock func() (t time.Duration)
+	now   time.Duration
+	done  int
+}
+
+func newLone(clock func() (t time.Duration), keep int) (l *lone) {
+	shape := stage.HollowShape(1, soloReplicas, 0, 1, []string{"a1"})
+	c, err := charter.Read(shape.Charter)
+	if err != nil {
+		panic(err)
+	}
+	for i := range c.Offers {
+		c.Offers[i].KeepTokens = keep
+	}
+	l = &lone{node: &stage.HollowNode{Name: "n1", Domain: "a1"}, costs: NewCosts(), clock: clock, now: time.Second}
+	l.node.Router = mallowbridge.New(mallowbridge.Defaults("n1", "b", "a1"))
+	l.step(mallowbridge.Routers{Names: []string{"n1"}, Domains: []string{"a1"}})
+	l.step(mallowbridge.Order{Picture: &charter.Picture{Mark: 1, Charter: c}})
+	for i := range soloReplicas {
+		l.step(mallowbridge.Usage{Replica: fmt.Sprintf("r%d", i+1), InstanceID: "i1", Age: time.Hour})
+	}
+	l.now += 5 * time.Second
+	l.step(mallowbridge.Tick{})
+	l.costs.Reset()
+	return l
+}
+
+func (l *lone) step(ev mallowbridge.Event) (ds []mallowbridge.Decision) {
+	from := l.clock()
+	ds = l.node.Router.Step(l.now, ev)
+	l.costs.Stepped(l.node, ev, l.clock()-from)
+	return ds
+}
+
+func (l *lone) request(i int, prefix string) {
+	l.now += soloEvery
+	l.step(mallowbridge.Feed{})
+	req := fmt.Sprintf("q-%08d", i)
+	for _, d := range l.step(mallowbridge.Arrive{Request: req, Offer: "model1", Kind: "fast", Prefix: prefix, Tail: 64}) {
+		if d.Verdict != mallowbridge.Place {
+			continue
+		}
+		l.step(mallowbridge.Leave{Request: req, Go: d.Go})
+		l.step(mallowbridge.Head{Request: req, Go: d.Go, InstanceID: "i1"})
+		l.step(mallowbridge.Piece{Request: req, Go: d.Go})
+		l.step(mallowbridge.End{Request: req, Go: d.Go, How: mallowbridge.Whole})
+		l.done++
+	}
+}
+
+// remembered asks one node as a witness for x requests.
+func remembered() (s Sweep) {
+	return Sweep{Name: "remembered", Axis: "requests witnessed in ten minutes", Xs: []float64{1000, 3000, 10000, 30000, 100000}, run: func(clock func() (t time.Duration), x float64) (ps []Point, note string) {
+		n := &stage.HollowNode{Name: "n1", Domain: "a1", Router: mallowbridge.New(mallowbridge.Defaults("n1", "b", "a1"))}
+		n.Control = crux.New(0, crux.Config{Name: "n1", Addr: "10.0.0.1:1", Domain: "a1", Boot: "b", Kin: kin.Defaults(), Rumor: rumor.Defaults()})
+		costs := NewCosts()
+		for i := range int(x) {
+			in := crux.Recv{From: "10.0.0.2:1", Msg: crux.WitnessAsk{Rid: uint64(i), Request: fmt.Sprintf("q-%08d", i), By: "n2/b"}}
+			from := clock()
+			n.Control.Step(time.Second, in)
+			costs.Stepped(n, in, clock()-from)
+		}
+		c := costs.of(n, Witnesses)
+		c.Step /= time.Duration(x)
+		r := Result{Plan: Plan{Nodes: 1, Rate: x / 600, Lasts: time.Second}, Costs: costs, Nodes: []*stage.HollowNode{n}}
+		return r.Points("remembered", x), fmt.Sprintf("%s of processor for each", c.Step)
+	}}
+}
--- /dev/null
+++ b/slope/sweep.go
@@ -0,0 +1,88 @@
+package slope
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Sweep changes one thing of a fleet from run to run.
+type Sweep struct {
+	Name string
+	// Axis is what x is.
+	Axis string
+	Xs   []float64
+	run  func(clock func() (t time.Duration), x float64) (ps []Point, note string)
+}
+
+type SweepError struct{ Name string }
+
+func (e *SweepError) Error() (text string) { return "no sweep is called " + e.Name }
+
+// Base is the fleet that one thing of is changed.
+const Base = 48
+
+func fleet(name, axis string, xs []float64, change func(p *Plan, x float64)) (s Sweep) {
+	return Sweep{Name: name, Axis: axis, Xs: xs, run: func(clock func() (t time.Duration), x float64) (ps []Point, note string) {
+		p := Part(Base)
+		p.Clock = clock
+		change(&p, x)
+		r := p.Run()
+		return r.Points(name, x), r.Note()
+	}}
+}
+
+// Sweeps are all that there are, the shortest last.
+func Sweeps(sizes []float64) (ss []Sweep) {
+	return []Sweep{
+		fleet("fleet", "nodes, with replicas and requests to match", sizes, func(p *Plan, x float64) {
+			whole := Part(int(x))
+			p.Nodes, p.Replicas, p.Rate = whole.Nodes, whole.Replicas, whole.Rate
+		}),
+		fleet("nodes", "nodes", []float64{16, 24, 48, 96, 185}, func(p *Plan, x float64) { p.Nodes = int(x) }),
+		fleet("replicas", "replicas", []float64{39, 78, 156, 300, 600}, func(p *Plan, x float64) { p.Replicas = int(x) }),
+		fleet("requests", "requests a second", []float64{60, 120, 250, 500, 1000}, func(p *Plan, x float64) { p.Rate = x }),
+		fleet("changes", "changes of configuration a second", []float64{0.25, 0.5, 1, 2, 4}, func(p *Plan, x float64) { p.Changes, p.Lasts = x, 12*time.Second }),
+		fleet("config", "bytes of configuration, changed once a second", []float64{16 << 10, 32 << 10, 64 << 10, 128 << 10, 256 << 10, 512 << 10}, func(p *Plan, x float64) {
+			p.ConfigBytes, p.Changes = int(x), 1
+		}),
+		fleet("distance", "milliseconds between zones, a change a second", []float64{3, 10, 20, 40, 80}, func(p *Plan, x float64) {
+			p.Far, p.Changes = time.Duration(x*float64(time.Millisecond)), 1
+		}),
+		solo("prefixes", "shared prefixes seen", prefixes),
+		solo("sessions", "sessions seen, over 100 shared prefixes", sessions),
+		solo("tenants", "tenants seen", tenants),
+		solo("bounded", "sessions seen, keepTokens 65536 a replica", bounded),
+		remembered(),
+	}
+}
+
+// Choose names sweeps; no name chooses all.
+func Choose(all []Sweep, names []string) (some []Sweep, err error) {
+	if len(names) == 0 {
+		return all, nil
+	}
+	for _, name := range names {
+		i := slices.IndexFunc(all, func(s Sweep) bool { return s.Name == name })
+		if i < 0 {
+			return nil, trace.Wrap(&SweepError{Name: name})
+		}
+		some = append(some, all[i])
+	}
+	return some, nil
+}
+
+// Run measures the sweep's points; said hears of each run as it ends, with all points up to then.
+func (s Sweep) Run(said func(x float64, note string, ps []Point) (err error)) (err error) {
+	clock := ThreadClock()
+	var ps []Point
+	for _, x := range s.Xs {
+		some, note := s.run(clock, x)
+		ps = append(ps, some...)
+		if err = said(x, note, ps); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/stage/hollownode.go
@@ -0,0 +1,228 @@
+package stage
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/hint"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/rumor"
+	"github.com/mallowbridge/mallowbridge/tally"
+)
+
+// HollowNode is one node's two real machines, Control and Router, with a disk where the shape gives it one.
+type HollowNode struct {
+	h       *Hollow
+	Name    string
+	Addr    string
+	Domain  string
+	Control *crux.Node
+	Router  *mallowbridge.Router
+	Disk    *Disk
+	keeper  *crux.Keeper
+	saving  bool
+	unsaved []crux.Write
+	eyes    map[string]bool
+	asks    map[string]*hollowGo
+	mark    uint64
+}
+
+// hollowGo is a request on its way: due keeps its answer's lines in order.
+type hollowGo struct {
+	ask     Ask
+	at      time.Duration
+	passage mallowbridge.Passage
+	due     time.Duration
+	on      string
+}
+
+func (n *HollowNode) start() {
+	h := n.h
+	cfg := crux.Config{
+		Name: n.Name, Addr: n.Addr, HTTP: n.Addr, Domain: n.Domain, Boot: "b" + n.Name, Inc: h.rng.Uint64() >> 16, Seed: h.rng.Uint64(),
+		Kin: kin.Defaults(), Rumor: rumor.Defaults(),
+	}
+	for _, o := range h.Nodes[:min(3, len(h.Nodes))] {
+		cfg.Seeds = append(cfg.Seeds, o.Addr)
+	}
+	if n.Disk != nil {
+		k, err := crux.OpenKeeper(n.Disk, "disk-"+n.Name)
+		if err != nil {
+			panic(err)
+		}
+		n.keeper = k
+		kept := k.Kept()
+		cfg.Disk = &kept
+	}
+	n.Control = crux.New(h.now, cfg)
+	n.Router = mallowbridge.New(mallowbridge.Defaults(n.Name, cfg.Boot, n.Domain))
+	n.tick()
+}
+
+func (n *HollowNode) tick() {
+	n.h.after(tickEvery, n.tick)
+	n.step(crux.Tick{})
+	n.event(mallowbridge.Tick{})
+}
+
+func (n *HollowNode) step(in crux.In) {
+	start := n.h.S.Clock()
+	out := n.Control.Step(n.h.now, in)
+	n.h.S.Meter.Stepped(n, in, n.h.S.Clock()-start)
+	n.carry(out)
+}
+
+func (n *HollowNode) event(ev mallowbridge.Event) {
+	start := n.h.S.Clock()
+	ds := n.Router.Step(n.h.now, ev)
+	n.h.S.Meter.Stepped(n, ev, n.h.S.Clock()-start)
+	for _, d := range ds {
+		if g := n.asks[d.Request]; g != nil {
+			n.move(g, g.passage.Decided(d))
+		}
+	}
+}
+
+func (n *HollowNode) carry(out crux.Out) {
+	for _, s := range out.Sends {
+		n.h.carry(n, s)
+	}
+	n.unsaved = append(n.unsaved, out.Writes...)
+	for range out.Writes {
+		n.h.S.Meter.Wrote(n)
+	}
+	n.save()
+	for _, ev := range out.Events {
+		n.event(ev)
+		if o, ok := ev.(mallowbridge.Order); ok {
+			n.watch(o.Picture)
+			n.obeys(o)
+		}
+	}
+	for _, p := range out.Probes {
+		n.probe(p)
+	}
+	for _, a := range out.Answers {
+		if done := n.h.answers[a.ID]; done != nil {
+			delete(n.h.answers, a.ID)
+			done(a)
+		}
+	}
+}
+
+func (n *HollowNode) save() {
+	if n.saving || len(n.unsaved) == 0 {
+		return
+	}
+	n.saving = true
+	batch := n.unsaved
+	n.unsaved = nil
+	n.h.after(3*time.Millisecond, func() {
+		n.saving = false
+		err := n.keeper.Save(batch)
+		n.step(crux.Saved{Ticket: batch[len(batch)-1].Ticket, Err: err})
+		n.save()
+	})
+}
+
+func (n *HollowNode) trip(rep string) (d time.Duration) {
+	return n.h.net.delay(n.Domain == n.h.where[rep])
+}
+
+func (n *HollowNode) report(rep string, own bool) (p crux.Probed) {
+	r := n.h.reps[rep]
+	running, lag := r.Usage(n.h.now)
+	return crux.Probed{Replica: rep, Own: own, OK: true, InstanceID: r.Instance, Running: running, Lag: lag}
+}
+
+func (n *HollowNode) probe(p crux.Probe) {
+	if n.h.reps[p.Replica] == nil {
+		return
+	}
+	n.h.S.Meter.Asked(n)
+	n.h.after(2*n.trip(p.Replica), func() { n.step(n.report(p.Replica, p.Own)) })
+}
+
+func (n *HollowNode) watch(p *charter.Picture) {
+	for _, o := range p.Charter.Offers {
+		for _, r := range o.Replicas {
+			if n.h.reps[r.Name] == nil || n.eyes[r.Name] {
+				continue
+			}
+			n.eyes[r.Name] = true
+			n.h.S.Meter.Asked(n)
+			n.h.after(2*n.trip(r.Name), func() { n.step(crux.Sighted{State: crux.Up, Probed: n.report(r.Name, true)}) })
+		}
+	}
+}
+
+func (n *HollowNode) submit(a Ask) {
+	g := &hollowGo{ask: a, at: n.h.now, passage: mallowbridge.Passage{Request: a.Request}}
+	n.asks[a.Request] = g
+	n.event(mallowbridge.Arrive{Request: a.Request, Offer: a.Kind.Offer, Kind: a.Kind.Name, Prefix: a.Prefix, Tail: a.TailTokens})
+}
+
+func (n *HollowNode) move(g *hollowGo, moves []mallowbridge.Move) {
+	for _, m := range moves {
+		switch m.Kind {
+		case mallowbridge.Dial:
+			g.on, g.due = m.Place.Replica, 0
+			n.h.after(2*n.trip(g.on), func() { n.happened(g, mallowbridge.Dialed{Go: m.Place.Go, OK: true}) })
+		case mallowbridge.Vouch:
+			n.h.call(n, crux.Witness{Request: g.ask.Request, Spare: m.Place.Spare}, func(a crux.Answer) {
+				n.happened(g, mallowbridge.Vouched{Go: m.Place.Go, How: crux.Vouch(a)})
+			})
+		case mallowbridge.Glance:
+			n.h.call(n, crux.Witness{Request: g.ask.Request, Peek: true}, func(a crux.Answer) {
+				n.happened(g, mallowbridge.Vouched{How: crux.Vouch(a)})
+			})
+		case mallowbridge.Write:
+			n.h.after(n.trip(g.on), func() { n.admitted(g, m.Place.Go) })
+		case mallowbridge.Tell:
+			n.event(m.Event)
+		case mallowbridge.Close:
+			delete(n.asks, g.ask.Request)
+			n.h.Ends[m.Outcome]++
+		}
+	}
+}
+
+func (n *HollowNode) happened(g *hollowGo, w mallowbridge.Wire) { n.move(g, g.passage.Happened(w)) }
+
+func (n *HollowNode) back(g *hollowGo, at time.Duration, w mallowbridge.Wire) {
+	g.due = max(g.due, at+n.trip(g.on))
+	n.h.at(g.due, func() { n.happened(g, w) })
+}
+
+func (n *HollowNode) admitted(g *hollowGo, id string) {
+	r := n.h.reps[g.on]
+	parts, _ := hint.Parse(Prompt, g.ask.Prefix)
+	plan, ok := r.Admit(n.h.now, id, parts, g.ask.TailTokens)
+	if !ok {
+		n.back(g, n.h.now, mallowbridge.Replied{Go: id, Attempt: id, Status: http.StatusTooManyRequests})
+		return
+	}
+	at := n.h.now + plan.First
+	n.back(g, at, mallowbridge.Replied{Go: id, Attempt: id, Status: http.StatusOK})
+	n.h.Firsts = append(n.h.Firsts, at-g.at)
+	for i := range plan.Pieces {
+		text := tally.Piece(g.ask.Request, id, i)
+		n.back(g, at+time.Duration(i)*plan.Every, mallowbridge.Read{Go: id, Line: mallowbridge.Line{Go: id, InstanceID: r.Instance, Piece: &i, Text: text}})
+	}
+	end := at + time.Duration(plan.Pieces-1)*plan.Every
+	n.back(g, end, mallowbridge.Read{Go: id, Line: mallowbridge.Line{Go: id, InstanceID: r.Instance, End: true, Pieces: plan.Pieces}})
+	n.h.at(end, func() { r.Release(n.h.now, id) })
+}
+
+// HollowShape is a fleet of so many nodes and replicas over zones, with so many disks, offers and kinds of request each.
+func HollowShape(nodes, replicas, disks, offers int, zones []string) (s Shape) {
+	s = Shape{Name: "hollow", Voters: []string{"n1", "n2", "n3"}, Domains: zones}
+	for i := range nodes {
+		s.Nodes = append(s.Nodes, NodeShape{Name: fmt.Sprintf("n%d", i+1), Domain: zones[i%len(zones)], Disk: i < disks})
+	}
+	return s.offers(replicas, offers)
+}
--- /dev/null
+++ b/stage/hollowshape.go
@@ -0,0 +1,57 @@
+package stage
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+func (s Shape) offers(replicas, offers int) (same Shape) {
+	var os []any
+	for o := range offers {
+		name := fmt.Sprintf("model%d", o+1)
+		var rs []any
+		for i := o; i < replicas; i += offers {
+			rs = append(rs, doc{
+				"name": fmt.Sprintf("r%d", i+1), "addr": fmt.Sprintf("10.200.%d.%d:9000", i>>8, i&255), "domain": s.Domains[i%len(s.Domains)], "room": HollowRoom,
+			})
+		}
+		var ks []any
+		for i, k := range []string{"fast", "normal", "once"} {
+			s.Kinds = append(s.Kinds, KindLoad{Offer: name, Name: k, Repeatable: i < 2})
+			ks = append(ks, doc{"name": k, "value": 5, "urgency": 3 - i, "firstTokenMs": 1900, "repeatable": i < 2})
+		}
+		os = append(os, doc{
+			"name": name, "model": Prompt, "replicas": rs, "kinds": ks, "crossCost": 0.5, "cold": doc{"startRoom": 1, "rampMs": 0},
+		})
+	}
+	s.Charter, _ = json.Marshal(doc{"replaceLostVoterMs": 15000, "offers": os})
+	return s
+}
+
+// HollowRoom is how many requests a replica of a hollow fleet runs at once.
+const HollowRoom = 12
+
+// HollowBody is the n-th change of a shape's configuration, padded by kinds that nobody asks for to about so many bytes.
+func HollowBody(s Shape, n, bytes int) (raw []byte) {
+	var d doc
+	if err := json.Unmarshal(s.Charter, &d); err != nil {
+		panic(err)
+	}
+	d["replaceLostVoterMs"] = 15000 + n
+	size, at := len(s.Charter), 0
+	for size < bytes {
+		var ks []any
+		for i := range 48 {
+			ks = append(ks, doc{"name": fmt.Sprintf("padding-of-a-name-that-is-long-enough-%d", i), "firstTokenMs": 1900})
+			size += 74
+		}
+		at++
+		size += 120
+		d["offers"] = append(d["offers"].([]any), doc{
+			"name": fmt.Sprintf("pad%d", at), "model": Prompt, "kinds": ks,
+			"replicas": []any{doc{"name": fmt.Sprintf("pad%d", at), "addr": "10.201.0.1:9000", "domain": s.Domains[0]}},
+		})
+	}
+	raw, _ = json.Marshal(d)
+	return raw
+}
