--- a/cmd/mallowbridge/main.go
+++ b/cmd/mallowbridge/main.go
@@ -27,11 +27,13 @@
 	app.ErrorWriter(errs)
 	cmds := map[string]command{}
 	daemons(app, cmds)
+	nodes(app, cmds)
 	operators(app, cmds)
 	standIns(app, cmds)
 	tools(app, cmds)
 	whatIf(app, cmds)
 	gauge(app, cmds)
+	slopes(app, cmds)
 	name, err := app.Parse(args)
 	if err != nil {
 		fmt.Fprintln(errs, "mallowbridge:", err)
--- /dev/null
+++ b/cmd/mallowbridge/node.go
@@ -0,0 +1,207 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+	"github.com/uptrace/bunrouter"
+	"gopkg.in/tomb.v2"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/ferry"
+	"github.com/mallowbridge/mallowbridge/hearth"
+	"github.com/mallowbridge/mallowbridge/platform"
+)
+
+func nodes(app *kingpin.Application, cmds map[string]command) {
+	c := app.Command("node", "Run a node on the users' platform: its settings come from a YAML file.")
+	file := c.Flag("settings", "Settings file.").Short('s').Envar(platform.SettingsVariable).Required().String()
+	cmds["node"] = func(_ io.Reader, _ io.Writer) error {
+		s, err := platform.ReadSettings(*file)
+		if err != nil {
+			return err
+		}
+		return runNode(*file, s)
+	}
+}
+
+const (
+	listEvery = time.Second
+	// staleCap bounds how long a predicted holding may be trusted.
+	staleCap = 2 * time.Second
+)
+
+// spareAllowance keeps a part of the allowed second attempts back for the moments in which nodes hold different members.
+const spareAllowance = 0.25
+
+func reader(b platform.Bounds) (read charter.Reader) {
+	return func(raw []byte) (c charter.Charter, err error) {
+		if c, err = platform.Read(raw); err != nil {
+			return c, err
+		}
+		for i := range c.Offers {
+			c.Offers[i].StaleCap = staleCap
+			c.Offers[i].SecondShare, c.Offers[i].SecondPlus = b.RetryRatio, int(float64(b.RetryExtra)*(1-spareAllowance))
+		}
+		return c, nil
+	}
+}
+
+func nodeSettings(s platform.Settings) (h hearth.Settings) {
+	h = hearth.Settings{
+		Role: "core", Name: s.Name, Listen: s.Listen(), HTTP: s.Front, Domain: s.Zone, Data: s.Data, Seeds: s.InternalSeeds(),
+		Backlog: 1024, MaxBody: 1, MaxStreams: 1, DrainMs: 1,
+		Host: hearth.Host{
+			Read: reader(s.Bounds), ListEvery: listEvery, Tolerate: s.Tolerate.Machines, Founds: s.FirstStart, ServesCutOff: true,
+		},
+	}
+	get := platform.Getter(s.Cloud.Address)
+	h.Host.List = func() ([]mallowbridge.Instance, error) { return platform.List(get) }
+	return h
+}
+
+func headers() (h ferry.Headers) {
+	return ferry.Headers{
+		Attempt: platform.HeaderAttempt, Target: platform.HeaderTarget, NotRun: platform.HeaderNotExecuted, Load: platform.HeaderLoad,
+		Deadline: platform.HeaderDeadline, Prefix: platform.HeaderPrefix, Model: platform.HeaderModel, Tokens: platform.HeaderTokens,
+		Seal: platform.HeaderSeal, Instance: platform.HeaderInstance, Rank: platform.HeaderPriority,
+		ParseTokens: platform.ParseTokens, ParseLoad: platform.ParseLoad,
+	}
+}
+
+func runNode(file string, s platform.Settings) (err error) {
+	if mb := s.Machine.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20 * 7 / 10)
+	}
+	lg := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
+	lg.Context = log.NewContext(nil).Str("node", s.Name).Value()
+	t := &tomb.Tomb{}
+	listeners, err := listenAll(s)
+	if err != nil {
+		return err
+	}
+	h, err := hearth.Start(t, nodeSettings(s), lg)
+	if err != nil {
+		t.Kill(nil)
+		return err
+	}
+	limits := &atomic.Pointer[charter.Limits]{}
+	limits.Store(&charter.Limits{})
+	h.OnPicture(func(p *charter.Picture) { limits.Store(&p.Charter.Limits) })
+	p := ferry.New(h.Desk, headers(), ferry.Defaults(), func() charter.Limits { return *limits.Load() }, h.Front)
+	retired := &atomic.Bool{}
+	if lis := listeners["front"]; lis != nil {
+		ferry.Serve(t, lis, p, func() charter.Limits { return *limits.Load() })
+	}
+	if lis := listeners["readiness"]; lis != nil {
+		ready := func() (why string) { return readiness(h, retired) }
+		serveOps(t, lis, platform.Readiness(ready))
+	}
+	if lis := listeners["control"]; lis != nil {
+		routes := bunrouter.New()
+		platform.Routes(routes, hearth.Documents{H: h})
+		serveOps(t, lis, routes)
+	}
+	lg.Info().Str("zone", s.Zone).Bool("first", s.FirstStart).Msg("started")
+	err = superviseNode(t, h, p, file, s, retired, lg)
+	return err
+}
+
+func listenAll(s platform.Settings) (listeners map[string]net.Listener, err error) {
+	listeners = map[string]net.Listener{}
+	for name, addr := range map[string]string{"front": s.Front, "readiness": s.Readiness, "control": s.Control} {
+		if addr == "" {
+			continue
+		}
+		if listeners[name], err = net.Listen("tcp", addr); err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+	}
+	return listeners, nil
+}
+
+func serveOps(t *tomb.Tomb, lis net.Listener, h http.Handler) {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	t.Go(func() error { return served(srv.Serve(lis)) })
+	t.Go(func() error {
+		<-t.Dying()
+		return srv.Close()
+	})
+}
+
+func readiness(h *hearth.Hearth, retired *atomic.Bool) (why string) {
+	if retired.Load() {
+		return "draining"
+	}
+	h.Desk.Look(func(r *mallowbridge.Router) { why = r.Ready(hearth.Clock()) })
+	return why
+}
+
+func superviseNode(t *tomb.Tomb, h *hearth.Hearth, p *ferry.Proxy, file string, s platform.Settings, retired *atomic.Bool, lg *log.Logger) (err error) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	for {
+		select {
+		case <-t.Dying():
+			return t.Wait()
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				s = reload(h, file, s, lg)
+				continue
+			}
+			lg.Info().Msg("draining")
+			retired.Store(true)
+			p.Retire()
+			drainNode(h, p, s.Bounds.GracePeriod)
+			t.Kill(nil)
+			err = t.Wait()
+			lg.Info().Msg("stopped")
+			return err
+		}
+	}
+}
+
+// reload takes the seeds of a settings file that changed; what it was started with stays as it is.
+func reload(h *hearth.Hearth, file string, old platform.Settings, lg *log.Logger) (s platform.Settings) {
+	s, err := platform.ReadSettings(file)
+	if err != nil {
+		lg.Warn().Err(err).Msg("settings are flawed, the old ones stay")
+		return old
+	}
+	h.Call(crux.Seeds{Addrs: s.InternalSeeds()})
+	lg.Info().Msg("settings read anew")
+	return s
+}
+
+// drainNode lets user agents go elsewhere first, then hands in what this node does for others, and ends when nothing runs here.
+func drainNode(h *hearth.Hearth, p *ferry.Proxy, grace time.Duration) {
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	end, leave := time.After(grace-grace/10), time.After(grace*2/5)
+	left := false
+	for {
+		select {
+		case <-end:
+			return
+		case <-leave:
+			left = true
+			h.Call(crux.Depart{})
+		case <-tick.C:
+			if left && p.Running() == 0 {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/mallowbridge/slopes.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/mallowbridge/mallowbridge/slope"
+)
+
+func slopes(app *kingpin.Application, cmds map[string]command) {
+	c := app.Command("slopes", "Run fleets of several sizes in one process and fit lines through their state, messages, bytes and processor time.")
+	dir := c.Flag("out", "Directory for points (CSV), fits (JSON) and plots (SVG).").Default("docs/capacity").String()
+	sizes := c.Flag("nodes", "Sizes of the sweep called fleet.").Default("16", "24", "48", "96", "185", "370").Float64List()
+	names := c.Flag("sweep", "Sweep, instead of all: fleet, nodes, replicas, requests, changes, config, distance, prefixes, sessions, tenants, bounded, remembered.").Strings()
+	cores := c.Flag("cores", "Cores to be used at once.").Default("3").Int()
+	cmds["slopes"] = func(_ io.Reader, out io.Writer) error {
+		runtime.GOMAXPROCS(*cores)
+		some, err := slope.Choose(slope.Sweeps(*sizes), *names)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "a connection's coders hold %d bytes; its first frames cost %d bytes more than later ones\n", slope.ConnBytes(), slope.Opening())
+		for _, s := range some {
+			if err = sweep(out, *dir, s); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func sweep(out io.Writer, dir string, s slope.Sweep) (err error) {
+	fmt.Fprintf(out, "%s: %s\n", s.Name, s.Axis)
+	from := time.Now()
+	return s.Run(func(x float64, note string, ps []slope.Point) (err error) {
+		fmt.Fprintf(out, "  %g: %s (%s)\n", x, note, time.Since(from).Round(time.Second))
+		from = time.Now()
+		return slope.Save(dir, s, ps)
+	})
+}
--- a/crux/command.go
+++ b/crux/command.go
@@ -42,6 +42,9 @@
 	case Libs:
 		n.Kin.Update(now, func(m *kin.Member) { m.Libs = op.N })
 		n.answer(c.ID, nil)
+	case Seeds:
+		n.cfg.Seeds = op.Addrs
+		n.answer(c.ID, nil)
 	case Depart:
 		n.depart(now)
 		n.answer(c.ID, nil)
--- a/crux/msg.go
+++ b/crux/msg.go
@@ -130,6 +130,9 @@
 	Peek    bool
 }
 
+// Seeds replaces the addresses that a node turns to when it knows nobody.
+type Seeds struct{ Addrs []string }
+
 type Libs struct{ N int }
 
 type Depart struct{}
@@ -143,6 +146,7 @@
 func (Listed) op()  {}
 func (Witness) op() {}
 func (Libs) op()    {}
+func (Seeds) op()   {}
 func (Depart) op()  {}
 
 type Send struct {
--- a/crux/status.go
+++ b/crux/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/mallowbridge/mallowbridge/charter"
 	"github.com/mallowbridge/mallowbridge/kin"
 	"github.com/mallowbridge/mallowbridge/pact"
 )
@@ -63,4 +64,12 @@
 	return duties
 }
 
+// Picture is what this node obeys, or nil.
+func (n *Node) Picture() (p *charter.Picture) {
+	if n.obeyed == 0 {
+		return nil
+	}
+	return n.pic
+}
+
 func (n *Node) Value() (v *pact.Value) { return n.value }
--- a/hearth/hearth.go
+++ b/hearth/hearth.go
@@ -21,7 +21,7 @@
 
 const (
 	ticks     = 50 * time.Millisecond
-	deskTicks = 10 * time.Millisecond
+	deskTicks = mallowbridge.Idle
 	// cutOffFeed keeps the market open over a freeze, where serving by an old picture is allowed.
 	cutOffFeed = time.Minute
 )
@@ -44,6 +44,7 @@
 	keeper *crux.Keeper
 	boot   string
 	Front  string
+	see    func(p *charter.Picture)
 }
 
 type call struct {
@@ -171,6 +172,9 @@
 		fs.tell(ev)
 		if o, ok := ev.(mallowbridge.Order); ok {
 			h.picture(o.Picture)
+			if h.see != nil {
+				h.see(o.Picture)
+			}
 		}
 	}
 	for _, p := range out.Probes {
