--- a/slope/count_test.go
+++ b/slope/count_test.go
@@ -113,3 +113,12 @@
 		t.Errorf("requests changed state of other mechanisms: %v, then %v", before, after)
 	}
 }
+
+func TestPaddedConfigurationsAreTaken(t *testing.T) {
+	p := Plan{Nodes: 3, Replicas: 3, Disks: 3, Models: 2, Zones: []string{"a1", "b1", "a2"}, ConfigBytes: 100000, Changes: 1, Warm: 12 * time.Second, Lasts: 4 * time.Second, Seed: 1,
+		Clock: func() (t time.Duration) { return 0 }}
+	r := p.Run()
+	if len(r.Puts) != 4 || r.Body < 100000 || r.Body > 104000 {
+		t.Errorf("%d changes of %d bytes in force, want 4 of 100000 to 104000", len(r.Puts), r.Body)
+	}
+}
--- a/slope/run.go
+++ b/slope/run.go
@@ -55,16 +55,23 @@
 	Body int
 }
 
+// roll keeps the memory of large fleets' starts down: each replica that is first seen has a node divide all room anew, and keep
+// the old division for two seconds.
+func (p Plan) roll() (d time.Duration) {
+	return max(0, time.Duration(p.Nodes-100)) * 70 * time.Millisecond
+}
+
 // Run boots the fleet, lets it settle for Warm and counts for Lasts.
 func (p Plan) Run() (r Result) {
 	shape := stage.HollowShape(p.Nodes, p.Replicas, p.Disks, p.Models, p.Zones)
+	plain := shape
 	if p.ConfigBytes > 0 {
 		shape.Charter = stage.HollowBody(shape, 0, p.ConfigBytes)
 	}
 	m := stage.DefaultModel()
 	m.Room = stage.HollowRoom
 	plan := stage.HollowPlan{
-		Seed: p.Seed, Shape: shape, Model: m, Far: p.Far, Clock: p.Clock, Body: func(n int) (raw []byte) { return stage.HollowBody(shape, n, p.ConfigBytes) },
+		Seed: p.Seed, Shape: shape, Model: m, Far: p.Far, Roll: p.roll(), Clock: p.Clock, Body: func(n int) (raw []byte) { return stage.HollowBody(plain, n, p.ConfigBytes) },
 	}
 	if p.Changes > 0 {
 		plan.PutEvery = time.Duration(float64(time.Second) / p.Changes)
@@ -77,15 +84,15 @@
 	plan.Meter = r.Costs
 	h := stage.NewHollow(plan)
 	h.Boot()
-	load := min(8*time.Second, p.Warm/2)
-	h.Run(load)
-	h.Load(p.Warm + p.Lasts)
-	h.Run(p.Warm)
+	warm := p.Warm + p.roll()
+	h.Run(p.roll() + min(8*time.Second, p.Warm/2))
+	h.Load(warm + p.Lasts)
+	h.Run(warm)
 	r.Costs.Reset()
 	h.Puts, h.Firsts = nil, nil
 	clear(h.Ends)
 	h.Change()
-	h.Run(p.Warm + p.Lasts)
+	h.Run(warm + p.Lasts)
 	for _, n := range h.Nodes {
 		if n.Router.Ready(h.Now()) == "" {
 			r.Ready++
--- a/slope/sweep.go
+++ b/slope/sweep.go
@@ -29,6 +29,9 @@
 		p.Clock = clock
 		change(&p, x)
 		r := p.Run()
+		if p.ConfigBytes > 0 {
+			x = float64(r.Body)
+		}
 		return r.Points(name, x), r.Note()
 	}}
 }
--- a/stage/hollow.go
+++ b/stage/hollow.go
@@ -26,6 +26,8 @@
 	PutEvery time.Duration
 	Body     func(n int) (raw []byte)
 	Far      time.Duration
+	// Roll spreads over so long when each node first looks at its replicas.
+	Roll time.Duration
 	// Clock is what inputs are timed by.
 	Clock func() (t time.Duration)
 }
@@ -102,6 +104,7 @@
 		}
 	}
 	for i, n := range h.Nodes {
+		n.rolled = h.S.Roll * time.Duration(i) / time.Duration(len(h.Nodes))
 		h.after(time.Duration(i)*300*time.Millisecond/time.Duration(len(h.Nodes)), n.start)
 	}
 	h.after(time.Second, h.found)
--- a/stage/hollownode.go
+++ b/stage/hollownode.go
@@ -29,6 +29,7 @@
 	eyes    map[string]bool
 	asks    map[string]*hollowGo
 	mark    uint64
+	rolled  time.Duration
 }
 
 // hollowGo is a request on its way: due keeps its answer's lines in order.
@@ -155,7 +156,7 @@
 			}
 			n.eyes[r.Name] = true
 			n.h.S.Meter.Asked(n)
-			n.h.after(2*n.trip(r.Name), func() { n.step(crux.Sighted{State: crux.Up, Probed: n.report(r.Name, true)}) })
+			n.h.at(max(n.h.now, n.rolled)+2*n.trip(r.Name), func() { n.step(crux.Sighted{State: crux.Up, Probed: n.report(r.Name, true)}) })
 		}
 	}
 }
--- a/stage/hollowshape.go
+++ b/stage/hollowshape.go
@@ -38,20 +38,19 @@
 		panic(err)
 	}
 	d["replaceLostVoterMs"] = 15000 + n
-	size, at := len(s.Charter), 0
-	for size < bytes {
+	offers := d["offers"].([]any)
+	for size, at := len(s.Charter), 0; size < bytes; at++ {
 		var ks []any
 		for i := range 48 {
 			ks = append(ks, doc{"name": fmt.Sprintf("padding-of-a-name-that-is-long-enough-%d", i), "firstTokenMs": 1900})
-			size += 74
 		}
-		at++
-		size += 120
-		d["offers"] = append(d["offers"].([]any), doc{
-			"name": fmt.Sprintf("pad%d", at), "model": Prompt, "kinds": ks,
-			"replicas": []any{doc{"name": fmt.Sprintf("pad%d", at), "addr": "10.201.0.1:9000", "domain": s.Domains[0]}},
-		})
+		name := fmt.Sprintf("pad%d", at)
+		pad := doc{"name": name, "model": Prompt, "kinds": ks, "replicas": []any{doc{"name": name, "addr": "10.201.0.1:9000", "domain": s.Domains[0]}}}
+		raw, _ = json.Marshal(pad)
+		size += len(raw) + 1
+		offers = append(offers, pad)
 	}
+	d["offers"] = offers
 	raw, _ = json.Marshal(d)
 	return raw
 }
