--- a/slope/clock.go
+++ b/slope/clock.go
@@ -8,7 +8,8 @@
 )
 
 // ThreadClock is the processor time of the calling goroutine's thread, which it keeps from then on: what others on the machine
-// take does not count. Reading it twice costs that much itself, and so much is taken off.
+// take does not count. Reading it twice costs that much itself, and so much is taken off; it
+// never goes back.
 func ThreadClock() (clock func() (t time.Duration)) {
 	runtime.LockOSThread()
 	read := func() (t time.Duration) {
@@ -24,9 +25,10 @@
 		read()
 	}
 	each := (read() - from) / tries
-	taken := time.Duration(0)
+	taken, last := time.Duration(0), time.Duration(0)
 	return func() (t time.Duration) {
 		taken += each
-		return read() - taken
+		last = max(last, read()-taken)
+		return last
 	}
 }
--- a/slope/fit_test.go
+++ b/slope/fit_test.go
@@ -100,3 +100,15 @@
 		t.Errorf("reckoned %.0f bytes, the heap says %.0f", got, heap)
 	}
 }
+
+func TestThreadClockNeverGoesBack(t *testing.T) {
+	clock := ThreadClock()
+	last := clock()
+	for range 10000 {
+		now := clock()
+		if now < last {
+			t.Fatalf("%s after %s", now, last)
+		}
+		last = now
+	}
+}
--- a/slope/solo.go
+++ b/slope/solo.go
@@ -42,9 +42,9 @@
 			l.request(i, of(i))
 		}
 		r := Result{Plan: Plan{Nodes: 1, Replicas: soloReplicas, Rate: 1 / soloEvery.Seconds(), Lasts: time.Second}, Costs: l.costs, Nodes: []*stage.HollowNode{l.node}}
-		c := l.costs.of(l.node, Requests)
-		each := c.Step / time.Duration(max(l.done, 1))
-		c.Step = each
+		each := l.costs.Of(l.node, Requests).Step / time.Duration(max(l.done, 1))
+		l.costs.Reset()
+		l.costs.of(l.node, Requests).Step = each
 		return r.Points(name, x), fmt.Sprintf("%d of %d requests done, %s of processor each", l.done, int(x), each)
 	}}
 }
