Batching replicas: prompts not read yet, their pace and ranks in the price

Cause: an estimate knew nothing of prompts that wait at a replica: long ones delayed all requests behind them, and shared parts were read again elsewhere for nothing. Change: per replica the prompts not read whole, in reading order, drained with the time; pace learned from first events that nothing was ahead of; short prompts get the more urgent rank; the price is in late first events: risk of lateness, shared parts read again, bytes between domains. Routes prefer near replicas at equal load.

--- a/bid/choose.go
+++ b/bid/choose.go
@@ -10,6 +10,9 @@
 func (m *Market) est(now time.Duration, a *Ask, rep, conf, pred int) (t time.Duration) {
 	r := &m.Reps[rep]
 	o := &m.Offers[r.Offer]
+	if o.Batches {
+		return m.firstEvent(now, a, rep, conf, pred)
+	}
 	uncached := float64(a.Tail+hint.Tokens(a.Parts)) - float64(conf) - m.cfg.PredWeight*float64(pred)
 	t = o.Base + time.Duration(uncached*float64(o.PerToken))
 	t = time.Duration(float64(t) * r.factor * (1 + m.fullness(now, rep)) * (1 + r.coldness(now, o.ColdRamp)))
@@ -48,9 +51,19 @@
 		if m.free(now, id) <= 0 {
 			continue
 		}
+		if o.Batches {
+			one := choice{rep: id, conf: conf, pred: pred, est: est}
+			if one.cost = m.cost(now, a, one, id == home); one.cost < c.cost {
+				c = one
+			}
+			continue
+		}
 		cost := float64(est)/float64(o.Kinds[a.Kind].Bound) + 0.5*m.fullness(now, id)
 		if !r.Near {
 			cost += o.CrossCost
+			if o.Kinds[a.Kind].routed() {
+				cost += m.cfg.Cross
+			}
 		}
 		if id == home {
 			unheld := hint.Tokens(a.Parts) - conf - pred
--- a/bid/course.go
+++ b/bid/course.go
@@ -90,6 +90,7 @@
 
 func (m *Market) release(now time.Duration, a *Ask) {
 	m.Reps[a.Rep].ended(now, a.Began)
+	m.Reps[a.Rep].prefills.remove(a.Go)
 	m.Index.Settle(a.Go)
 }
 
@@ -105,6 +106,7 @@
 	}
 	r := &m.Reps[a.Rep]
 	r.breaks = 0
+	r.prefills.remove(a.Go)
 	if !ok {
 		return
 	}
@@ -119,6 +121,10 @@
 
 func (m *Market) learn(a *Ask, r *Replica, took time.Duration) {
 	o := &m.Offers[a.Offer]
+	if o.Batches {
+		m.paced(a, r, took)
+		return
+	}
 	miss := o.Base + time.Duration(a.Tail+hint.Tokens(a.Parts))*o.PerToken
 	hit := miss - time.Duration(a.Conf)*o.PerToken
 	if a.Conf > 0 && a.Pred == 0 && !(o.Queues && r.crowded()) && hit < miss/2 && float64(took) > 0.8*float64(miss)*r.factor && float64(took) > 1.5*float64(a.Est) {
--- a/bid/market.go
+++ b/bid/market.go
@@ -16,12 +16,15 @@
 	Home       float64
 	Doubt      float64
 	Kept       float64
-	RoundRobin bool
-	Index      hint.Config
+	// Reread is the cost of reading 1000 shared tokens again, Cross of passing a request to another domain and CrossToken for 1000
+	// tokens of it, all in late first events.
+	Reread, Cross, CrossToken float64
+	RoundRobin                bool
+	Index                     hint.Config
 }
 
 func Defaults(self, domain string) (c Config) {
-	return Config{Self: self, Domain: domain, Backlog: 256, Feed: time.Second, Silence: 8 * time.Second, PredWeight: 0.7, Home: 4, Doubt: 1.2, Kept: 2, Index: hint.Defaults()}
+	return Config{Self: self, Domain: domain, Backlog: 256, Feed: time.Second, Silence: 8 * time.Second, PredWeight: 0.7, Home: 4, Doubt: 1.2, Kept: 2, Reread: 0.3, Cross: 0.04, CrossToken: 0.01, Index: hint.Defaults()}
 }
 
 const firstHold = 500 * time.Millisecond
@@ -58,6 +61,8 @@
 
 	Until   time.Duration
 	Resumes bool
+	// Rank is that of the prompt among others at the replica, -1 where replicas do not batch.
+	Rank int
 }
 
 type Counters struct {
--- /dev/null
+++ b/bid/prefill.go
@@ -0,0 +1,146 @@
+package bid
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+// A prefill is a prompt that a batching replica has not read whole, as far as this node knows.
+type prefill struct {
+	attempt uint64
+	tokens  float64
+	rank    int
+}
+
+// prefills are in the order in which the replica reads them; those of other nodes have no attempt.
+type prefills struct {
+	queue   []prefill
+	drained time.Duration
+}
+
+const (
+	ranks     = 10
+	leastRank = 750
+	// squared is the length at which attention makes a token twice as dear to read.
+	squared = 110000
+	// unfinished is the part of a prompt read in the meantime that still delays a shorter one.
+	unfinished = 0.3
+)
+
+// rank makes replicas read short prompts first: each rank holds prompts twice as long as the one before.
+func rank(tokens float64) (n int) {
+	for most := float64(leastRank); tokens > most && n < ranks-1; most *= 2 {
+		n++
+	}
+	return n
+}
+
+func work(tokens float64) (equivalent float64) { return tokens * (1 + tokens/squared) }
+
+func (p *prefills) add(now time.Duration, pace float64, one prefill) {
+	p.drain(now, pace)
+	at := len(p.queue)
+	for at > 0 && p.queue[at-1].rank > one.rank {
+		at--
+	}
+	p.queue = slices.Insert(p.queue, at, one)
+}
+
+func (p *prefills) drain(now time.Duration, pace float64) {
+	left := float64(now-p.drained) / pace
+	p.drained = now
+	for i := range p.queue {
+		read := min(left, p.queue[i].tokens)
+		p.queue[i].tokens -= read
+		left -= read
+	}
+	p.queue = slices.DeleteFunc(p.queue, func(f prefill) bool { return f.attempt == 0 && f.tokens <= 0 })
+}
+
+func (p *prefills) remove(attempt uint64) {
+	p.queue = slices.DeleteFunc(p.queue, func(f prefill) bool { return f.attempt == attempt })
+}
+
+// ahead is what the replica reads before a new prompt of that rank.
+func (p *prefills) ahead(rank int) (tokens float64) {
+	for _, f := range p.queue {
+		if f.rank > rank {
+			tokens += unfinished * f.tokens
+			continue
+		}
+		tokens += f.tokens
+	}
+	return tokens
+}
+
+func (m *Market) pace(rep int) (perToken float64) {
+	r := &m.Reps[rep]
+	return m.Offers[r.Offer].pace * r.factor
+}
+
+func (m *Market) unread(a *Ask, conf, pred int) (tokens float64) {
+	return float64(a.Tail+hint.Tokens(a.Parts)) - float64(conf) - m.cfg.PredWeight*float64(pred)
+}
+
+func (m *Market) firstEvent(now time.Duration, a *Ask, rep, conf, pred int) (t time.Duration) {
+	r := &m.Reps[rep]
+	pace := m.pace(rep)
+	r.prefills.drain(now, pace)
+	tokens := m.unread(a, conf, pred)
+	reading := (r.prefills.ahead(rank(tokens)) + work(tokens)) * pace * (1 + m.fullness(now, rep))
+	return m.Offers[r.Offer].Base + time.Duration(reading)
+}
+
+func (m *Market) reads(now time.Duration, a *Ask) (n int) {
+	r := &m.Reps[a.Rep]
+	if !m.Offers[a.Offer].Batches {
+		return -1
+	}
+	tokens := m.unread(a, a.Conf, a.Pred)
+	n = rank(tokens)
+	a.Alone = len(r.prefills.queue) == 0
+	r.prefills.add(now, m.pace(a.Rep), prefill{attempt: a.Go, tokens: work(tokens), rank: n})
+	return n
+}
+
+const paceStep = 1.02
+
+// paced learns from the first events of prompts that nothing known was ahead of; a step at a time, so that outliers weigh no more.
+func (m *Market) paced(a *Ask, r *Replica, took time.Duration) {
+	o := &m.Offers[a.Offer]
+	if !a.Alone || m.unread(a, a.Conf, a.Pred) < 2*leastRank {
+		return
+	}
+	step := paceStep
+	if took < a.Est {
+		step = 1 / step
+	}
+	usual := float64(o.PerToken)
+	o.pace = min(max(o.pace*step, usual/2), 4*usual)
+	r.factor = min(max(r.factor*step, 0.7), 2)
+}
+
+// cost is in units of a late first event.
+func (m *Market) cost(now time.Duration, a *Ask, c choice, home bool) (cost float64) {
+	r, o := &m.Reps[c.rep], &m.Offers[a.Offer]
+	bound := float64(o.Kinds[a.Kind].Bound)
+	late := float64(c.est) / max(float64(a.Due-now), bound/8)
+	cost = min(late*late*late, 64) + 0.1*float64(c.est)/bound + 0.5*m.fullness(now, c.rep)
+	if shared := hint.Tokens(a.Parts[:max(len(a.Parts)-1, 0)]) - c.conf - c.pred; shared > 0 && !home {
+		cost += m.cfg.Reread * float64(shared) / 1000
+	}
+	if !r.Near {
+		cost += m.cfg.Cross + m.cfg.CrossToken*float64(a.Tail+hint.Tokens(a.Parts))/1000
+	}
+	return cost
+}
+
+// Batch says whether the offer's replicas batch; what was learned of their pace stays.
+func (o *Offer) Batch(yes bool) {
+	o.Batches = yes
+	if o.pace == 0 {
+		o.pace = float64(o.PerToken)
+	}
+}
--- /dev/null
+++ b/bid/prefill_test.go
@@ -0,0 +1,126 @@
+package bid
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+func batching(t *testing.T) (m *Market) {
+	t.Helper()
+	m = queueing(128, stream)
+	o := &m.Offers[0]
+	m.Reps[1].Near, o.CrossCost = true, 0
+	o.Base, o.PerToken = 30*ms, 10*time.Microsecond
+	o.Batch(true)
+	return m
+}
+
+func prompt(t *testing.T, m *Market, at time.Duration, a Ask) (id int, p Act) {
+	t.Helper()
+	id = m.Arrive(at, a)
+	p = only(t, m.Tick(at), Place)
+	m.Leave(at, id, p.Go)
+	only(t, m.Tick(at), Send)
+	return id, p
+}
+
+func TestShortPromptsHaveTheSmallerRank(t *testing.T) {
+	m := batching(t)
+	last := -1
+	for _, tokens := range []int{500, 1000, 2000, 4000, 8000, 16000, 32000, 64000} {
+		if _, p := prompt(t, m, now, Ask{Tail: tokens}); p.Rank <= last || p.Rank > 9 {
+			t.Errorf("%d tokens have rank %d after %d", tokens, p.Rank, last)
+		} else {
+			last = p.Rank
+		}
+	}
+	if _, p := prompt(t, queueing(8, stream), now, Ask{Tail: 9000}); p.Rank != -1 {
+		t.Errorf("rank %d where nothing is read", p.Rank)
+	}
+}
+
+func TestPromptsKeepAwayFromReplicasThatRead(t *testing.T) {
+	m := batching(t)
+	long, p := prompt(t, m, now, Ask{Tail: 40000})
+	for range 3 {
+		if _, q := prompt(t, m, now, Ask{Tail: 1000}); q.Rep == p.Rep {
+			t.Error("a short prompt waits behind a long one")
+		}
+	}
+	_, q := prompt(t, m, now+ms, Ask{Tail: 20000})
+	if q.Rep == p.Rep {
+		t.Error("two long prompts at one replica")
+	}
+	m.Head(now+2*ms, long, p.Go)
+	if _, q = prompt(t, m, now+2*ms, Ask{Tail: 20000}); q.Rep != p.Rep {
+		t.Error("a prompt that was read still counts")
+	}
+}
+
+func TestReadPromptsStopCountingByThemselves(t *testing.T) {
+	m := batching(t)
+	r := &m.Reps[0]
+	r.prefills.add(now, 10000, prefill{tokens: 10000, rank: 4})
+	r.prefills.add(now, 10000, prefill{attempt: 1, tokens: 10000, rank: 4})
+	r.prefills.add(now, 10000, prefill{attempt: 2, tokens: 1000, rank: 1})
+	if n := r.prefills.ahead(1); n != 1000+0.3*20000 {
+		t.Errorf("%v tokens before a short prompt", n)
+	}
+	r.prefills.drain(now+60*ms, 10000)
+	if n := r.prefills.ahead(9); n != 15000 {
+		t.Errorf("%v tokens after 60 ms", n)
+	}
+	r.prefills.drain(now+time.Second, 10000)
+	if len(r.prefills.queue) != 2 {
+		t.Errorf("%+v: attempts of this node stay until their first event, others do not", r.prefills.queue)
+	}
+}
+
+func TestPaceIsLearnedFromFirstEvents(t *testing.T) {
+	m := batching(t)
+	at := now
+	for range 200 {
+		at += time.Second
+		m.Feed(at, "")
+		id, p := prompt(t, m, at, Ask{Tail: 5000})
+		m.Head(at+130*ms, id, p.Go)
+		m.Finish(at+140*ms, id, p.Go, Whole)
+		m.Tick(at + 140*ms)
+	}
+	a := Ask{Tail: 5000, Due: at + time.Second}
+	if est := m.est(at+time.Second, &a, 0, 0, 0); est < 115*ms || est > 145*ms {
+		t.Errorf("estimate %v for what takes 130 ms", est)
+	}
+}
+
+func TestSharedPartsAreReadOnceUnlessTheWaitIsLong(t *testing.T) {
+	m := batching(t)
+	parts := []hint.Part{{Key: 1, Tokens: 500}, {Key: 2, Tokens: 5000}, {Key: 3, Tokens: 100}}
+	a := Ask{Parts: parts}
+	home := m.home(&a, &m.Offers[0])
+	m.Reps[home].Near = false
+	if _, p := prompt(t, m, now, a); p.Rep != home {
+		t.Error("away from home")
+	}
+	m.Reps[home].prefills.add(now, 10000, prefill{tokens: 30000, rank: 0})
+	if _, p := prompt(t, m, now, a); p.Rep != home {
+		t.Error("shared parts are read again for a short wait")
+	}
+	m.Reps[home].prefills.add(now, 10000, prefill{tokens: 120000, rank: 0})
+	if _, p := prompt(t, m, now, a); p.Rep == home {
+		t.Error("the first event is late for shared parts")
+	}
+}
+
+func TestNearReplicasGoFirstAtEqualLoad(t *testing.T) {
+	m := queueing(6, stream)
+	m.Reps[0].Near = false
+	m.Reps[1].Near, m.Offers[0].CrossCost = true, 0
+	_, p := start(t, m, now)
+	_, q := start(t, m, now)
+	if p.Rep != 1 || q.Rep != 0 {
+		t.Errorf("placed at %d and %d", p.Rep, q.Rep)
+	}
+}
--- a/bid/replica.go
+++ b/bid/replica.go
@@ -27,6 +27,7 @@
 	starts    []time.Duration
 	ends      []time.Duration
 	factor    float64
+	prefills  prefills
 	share     int
 	eff       int
 	breaks    int
--- a/bid/table.go
+++ b/bid/table.go
@@ -44,8 +44,10 @@
 	Conf      int
 	Pred      int
 	Est       time.Duration
-	live      bool
-	price     float64
+	// Alone: nothing unread was known at the replica when the request was placed.
+	Alone bool
+	live  bool
+	price float64
 }
 
 // settled tells whether a go that was sent needs no more leave: it may be repeated, is routed, or its witnesses have answered.
@@ -115,6 +117,10 @@
 	// Queues: replicas queue beyond their room and tell their load, so room is not divided.
 	Queues   bool
 	MaxConns int
+	// Batches: replicas read prompts in pieces between the tokens of others.
+	Batches bool
+	// pace is how many nanoseconds they are seen to read a token in.
+	pace float64
 	// ColdRate is how many starts a second a cold replica bears from all routers together; 0: no bound.
 	ColdRate float64
 
--- a/events.go
+++ b/events.go
@@ -187,6 +187,8 @@
 	Instance string `json:"instance,omitempty"`
 	// Route is the route taken, nil for a request to /v1/offers. It is immutable.
 	Route *charter.Route `json:"-"`
+	// Rank tells the replica how urgent the request is, 0 first.
+	Rank int `json:"rank,omitempty"`
 	// Conns is the most connections that this node may keep to the replica; 0: no bound.
 	Conns int `json:"conns,omitempty"`
 	// Until is when the request is given up, on the router's clock; 0: not bounded.
--- a/ferry/rig_test.go
+++ b/ferry/rig_test.go
@@ -166,7 +166,7 @@
 }
 
 func (r *replica) place(route *charter.Route) (d mallowbridge.Decision) {
-	return mallowbridge.Decision{Addr: r.addr, Replica: r.addr, Instance: "i1", Route: route}
+	return mallowbridge.Decision{Addr: r.addr, Replica: r.addr, Instance: "i1", Route: route, Rank: route.Rank}
 }
 
 func say(status, extra, body string) (s script) {
--- a/ferry/transfer.go
+++ b/ferry/transfer.go
@@ -170,7 +170,7 @@
 		set[h.Deadline] = strconv.FormatInt(left, 10)
 	}
 	if d.Route != nil && h.Rank != "" && x.r.Header[h.Rank] == nil {
-		set[h.Rank] = strconv.Itoa(d.Route.Rank)
+		set[h.Rank] = strconv.Itoa(d.Rank)
 	}
 	if d.Resumes && x.headed && x.events.Last != "" {
 		set[lastEvent] = x.events.Last
--- a/order.go
+++ b/order.go
@@ -55,6 +55,7 @@
 	if o.Stride > 0 || o.Discovered {
 		row.Base, row.PerToken = orElse(o.Base, 30*time.Millisecond), orElse(o.PerToken, 10*time.Microsecond)
 	}
+	row.Batch(o.Stride > 0)
 	row.Split = false
 	if r.kinds[id] == nil {
 		r.kinds[id] = map[kindKey]int{}
--- a/render.go
+++ b/render.go
@@ -40,7 +40,10 @@
 		d.Prefill = r.seats[a.Pre].addr
 	}
 	s := &r.seats[a.Rep]
-	d.Route, d.Resumes = r.names[a.Ask].route, a.Resumes
+	d.Route, d.Resumes, d.Rank = r.names[a.Ask].route, a.Resumes, a.Rank
+	if d.Rank < 0 && d.Route != nil {
+		d.Rank = d.Route.Rank
+	}
 	if s.discovered {
 		d.Instance = s.instance
 	}
