Restarting nodes look sooner, read the list at once, take connections when they can serve

Ruled out: holding requests in the market (their aim is not known before the configuration); serving by the configuration on disk (nodes without a disk have none, and it may be old). Change: looks repeat after 80 ms doubling, greetings likewise; the first reading of the list comes with the first tick; the front's listener queues connections until the node can serve or 0.7 s have passed; serving is told at once, not at the next tick. Test: crux/restart_test.go, 300 ms for eleven nodes; with looks every 400 ms it fails.

--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -103,7 +103,11 @@
 	p := ferry.New(h.Desk, headers(), ferry.Defaults(), func() charter.Limits { return *limits.Load() }, h.Front)
 	retired := &atomic.Bool{}
 	if lis := listeners["front"]; lis != nil {
-		ferry.Serve(t, lis, p, func() charter.Limits { return *limits.Load() })
+		t.Go(func() error {
+			awaitReady(t, h)
+			ferry.Serve(t, lis, p, func() charter.Limits { return *limits.Load() })
+			return nil
+		})
 	}
 	if lis := listeners["readiness"]; lis != nil {
 		ready := func() (why string) { return readiness(h, retired) }
@@ -141,6 +145,27 @@
 	})
 }
 
+const (
+	readyWithin = 700 * time.Millisecond
+	readyPoll   = 20 * time.Millisecond
+)
+
+// awaitReady leaves the first connections after a start in the listener's queue until they can be served, or refused for good.
+func awaitReady(t *tomb.Tomb, h *hearth.Hearth) {
+	end := time.After(readyWithin)
+	tick := time.NewTicker(readyPoll)
+	defer tick.Stop()
+	for readiness(h, &atomic.Bool{}) != "" {
+		select {
+		case <-t.Dying():
+			return
+		case <-end:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 func readiness(h *hearth.Hearth, retired *atomic.Bool) (why string) {
 	if retired.Load() {
 		return "draining"
--- a/crux/join.go
+++ b/crux/join.go
@@ -10,6 +10,7 @@
 const (
 	settle     = 2200 * time.Millisecond
 	askEvery   = 300 * time.Millisecond
+	askFirst   = 80 * time.Millisecond
 	readWithin = time.Second
 	neighbours = 1500 * time.Millisecond
 )
@@ -24,7 +25,7 @@
 	if n.joined {
 		return
 	}
-	if now-n.asked >= askEvery {
+	if now-n.asked >= min(askEvery, askFirst+(now-n.since)/4) {
 		n.asked = now
 		n.greet()
 	}
@@ -90,6 +91,11 @@
 
 func (n *Node) feed(now time.Duration) {
 	n.fedAt = now
+	n.tell(now)
+}
+
+// tell says at once when serving becomes possible or impossible.
+func (n *Node) tell(now time.Duration) {
 	why := n.hindrance(now)
 	if why != n.why {
 		n.why = why
--- a/crux/list.go
+++ b/crux/list.go
@@ -17,6 +17,8 @@
 	listPatience = 1300 * time.Millisecond
 	listStep     = 200 * time.Millisecond
 	listStride   = 8
+	// firstListAgain paces a starting node's own readings, and its rank spreads those of many that start together.
+	firstListAgain = 200 * time.Millisecond
 )
 
 // Roster is the platform's list as one node read it. It is told anew only when it changes.
@@ -54,6 +56,10 @@
 		return
 	}
 	l := &n.lists
+	if _, known := n.Rumor.Get(rosterKey); !known {
+		n.firstList(now)
+		return
+	}
 	if l.asking || now-l.asked < n.cfg.ListEvery {
 		return
 	}
@@ -70,6 +76,16 @@
 	n.out.List = true
 }
 
+// firstList reads the list at once after a start: until somebody has, nothing can be served.
+func (n *Node) firstList(now time.Duration) {
+	l := &n.lists
+	if l.asking || now-l.asked < firstListAgain+time.Duration(n.rank(listDuty))*listStep {
+		return
+	}
+	l.asking, l.asked = true, now
+	n.out.List = true
+}
+
 func (n *Node) rank(duty string) (place int) {
 	var names []string
 	for _, m := range n.Kin.Table.All() {
--- /dev/null
+++ b/crux/restart_test.go
@@ -0,0 +1,43 @@
+package crux
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+)
+
+func TestAFleetKilledAtOnceServesSoonAfterItIsBack(t *testing.T) {
+	l := newLab(t, 11)
+	l.list = []mallowbridge.Instance{{ID: "i1", Offer: "o"}}
+	l.run(2 * time.Second)
+	if a := l.write("n7", "x"); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+	l.run(3 * time.Second)
+	for _, name := range l.order {
+		l.down[name] = true
+		l.rosters[name] = nil
+	}
+	l.mail = nil
+	l.run(500 * time.Millisecond)
+	for i, name := range l.order {
+		l.boot(name, false)
+		l.step(name, Tick{})
+		l.run(time.Duration(i%3) * 10 * time.Millisecond)
+	}
+	back := l.now
+	ready := func() (yes bool) {
+		for _, name := range l.order {
+			if l.nodes[name].Picture() == nil || l.nodes[name].why != "" || l.rosters[name] == nil {
+				return false
+			}
+		}
+		return true
+	}
+	for !ready() {
+		if l.run(10 * time.Millisecond); l.now-back > 300*time.Millisecond {
+			t.Fatalf("not serving %s after the last start", l.now-back)
+		}
+	}
+}
--- a/hearth/hearth.go
+++ b/hearth/hearth.go
@@ -125,11 +125,14 @@
 	replies := map[uint64]chan crux.Answer{}
 	fs := newFollowers(h)
 	id := uint64(0)
+	first := time.After(0)
 	for {
 		var in crux.In
 		select {
 		case <-h.T.Dying():
 			return nil
+		case <-first:
+			first, in = nil, crux.Tick{}
 		case <-tick.C:
 			in = crux.Tick{}
 		case m := <-h.Net.In:
--- a/pact/proposer.go
+++ b/pact/proposer.go
@@ -60,6 +60,9 @@
 	waiting
 )
 
+// lookRound is the first wait for a look's answers, which cost the voters nothing; it doubles up to Round.
+const lookRound = 80 * time.Millisecond
+
 type Proposer struct {
 	By    string
 	Round time.Duration
@@ -137,6 +140,9 @@
 	}
 	p.ballot = Ballot{N: p.top, By: p.By}
 	p.phase, p.until = preparing, now+p.Round
+	if p.look {
+		p.until = now + min(lookRound<<min(p.tries, 8), p.Round)
+	}
 	p.got, p.yes = map[string]Promise{}, map[string]bool{}
 	p.asked = map[string]bool{}
 	p.ask(p.seats.All())
