--- /dev/null
+++ b/stage/answers.go
@@ -0,0 +1,81 @@
+package stage
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// job makes the request's work; what is taken up is read as a longer prompt.
+func (i *Instance) job(k *socket, r *request) (j *job) {
+	q := r.try.want
+	stride := max(i.offer.Stride, 1)
+	j = &job{parts: q.parts, prompt: max(q.prompt+r.after*stride, 1), out: max((q.events-r.after)*stride, 1), work: q.work, rank: r.rank, until: r.until}
+	run := fmt.Sprintf("%s.%d", i.ID, i.eng.seq+1)
+	headed := false
+	bad := ""
+	if g := i.garble; g.every > 0 && i.s.whim.IntN(g.every) == 0 {
+		bad = g.how
+	}
+	at := 0
+	if q.class.Streaming && q.events > 1 {
+		at = 1 + i.s.whim.IntN(q.events)
+	}
+	j.late = func() { i.refuse(k, r) }
+	j.begun = func() { i.s.rules.began(i, r) }
+	j.event = func(n int, last bool) {
+		n += r.after
+		p := packet{data: q.data(n, run), end: last}
+		if !headed {
+			headed = true
+			p.head = i.head(r, http.StatusOK)
+			p.head.seal, p.head.stream, p.head.shut = run, q.class.Streaming, p.head.shut || i.s.whim.IntN(closesEvery) == 0
+		}
+		if last {
+			k.job = nil
+		}
+		if bad != "" && (n >= at || last) && i.spoil(k, j, bad, p) {
+			return
+		}
+		i.s.rules.made(r, n)
+		k.reply(p)
+	}
+	return j
+}
+
+// spoil sends what a replica in trouble sends in the place of this packet, and tells whether the answer is over.
+func (i *Instance) spoil(k *socket, j *job, how string, p packet) (over bool) {
+	w := i.s.w
+	k.harm()
+	switch how {
+	case "surplus", "late":
+		if !p.end {
+			return false
+		}
+		k.reply(p)
+		again := packet{head: p.head, data: p.data, end: true}
+		if again.head == nil {
+			again.head = &head{status: http.StatusOK, attempt: "another", instance: i.ID}
+		}
+		wait := time.Duration(0)
+		if how == "late" {
+			wait = time.Duration(i.s.whim.Int64N(int64(300 * time.Millisecond)))
+		}
+		w.after(wait, func() { k.reply(again) })
+		return true
+	case "cut":
+		p.data, p.end, p.reset = p.data[:len(p.data)/2], false, true
+	case "reset":
+		p = packet{reset: true}
+	case "junk":
+		p = packet{junk: true}
+	case "silent":
+		p = packet{}
+	}
+	if how != "silent" {
+		k.reply(p)
+	}
+	i.eng.Drop(j)
+	k.job = nil
+	return true
+}
--- /dev/null
+++ b/stage/changes.go
@@ -0,0 +1,147 @@
+package stage
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+// A look is a request that nobody misses: it shows which document a node goes by.
+type look struct{ revision uint64 }
+
+const bigRoutes = 400
+
+func isIdle(r charter.Route) (yes bool) { return len(r.Name) > 4 && r.Name[:4] == "idle" }
+
+// vary moves, splits, adds and drops idle routes, and changes time-outs of all.
+func (o *operators) vary(c *charter.Charter) {
+	rng, spec := o.rng, o.s.spec
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		switch {
+		case !isIdle(*r):
+			if rng.IntN(4) == 0 {
+				r.Timeout += time.Duration(rng.IntN(200)) * time.Millisecond
+			}
+		case rng.IntN(3) == 0:
+			other := spec.Offers[rng.IntN(len(spec.Offers))].Name
+			r.Split = []charter.Split{{Offer: other, Weight: 1}}
+		case rng.IntN(4) == 0:
+			r.Split = nil
+			for _, x := range spec.Offers {
+				r.Split = append(r.Split, charter.Split{Offer: x.Name, Weight: float64(1 + rng.IntN(9))})
+			}
+		}
+	}
+	if rng.IntN(2) == 0 {
+		if at := slices.IndexFunc(c.Routes, isIdle); at >= 0 {
+			c.Routes = slices.Delete(c.Routes, at, at+1)
+		}
+	}
+	if rng.IntN(2) == 0 {
+		c.Routes = append(c.Routes, spec.idle(fmt.Sprintf("idle%d", 100+o.n), rng.IntN(len(spec.Offers))))
+	}
+}
+
+func (o *operators) grow(c *charter.Charter) {
+	for i := range bigRoutes {
+		c.Routes = append(c.Routes, o.s.spec.idle(fmt.Sprintf("idle-big%d.%d", o.n, i), i))
+	}
+}
+
+// change has one document after the other taken, with looks at what differs.
+func (o *operators) change(until, gap time.Duration, vary func(c *charter.Charter)) {
+	if o.s.w.now >= until {
+		return
+	}
+	base := o.s.rules.newest()
+	o.put(vary, func(v *version, ok bool) {
+		if ok && base != nil {
+			o.looks(base, v)
+		}
+		o.s.w.after(gap, func() { o.change(until, gap, vary) })
+	})
+}
+
+// race has several operators change the same version at once, at different nodes.
+func (o *operators) race(times int, gap time.Duration) {
+	if times == 0 {
+		return
+	}
+	if base := o.s.rules.newest(); base != nil {
+		for range 2 + o.rng.IntN(2) {
+			o.put2(base, o.vary, func(v *version, ok bool) {
+				if ok {
+					o.looks(base, v)
+				}
+			})
+		}
+	}
+	o.s.w.after(gap, func() { o.race(times-1, gap) })
+}
+
+// flawed sends documents that must not be taken, each flawed in another way.
+func (o *operators) flawed() {
+	base := o.s.rules.newest()
+	if base == nil {
+		return
+	}
+	flaws := []func(c *charter.Charter){
+		func(c *charter.Charter) { c.Routes[0].Split = []charter.Split{{Offer: "nobody", Weight: 1}} },
+		func(c *charter.Charter) { c.Routes[1].Split = []charter.Split{{Offer: o.s.spec.Offers[0].Name}} },
+		func(c *charter.Charter) { c.Routes[2].Timeout = 0 },
+		func(c *charter.Charter) { c.Routes[0].Prefix = c.Routes[1].Prefix },
+		func(c *charter.Charter) { c.Revision = base.revision },
+	}
+	for i, flaw := range flaws {
+		c := base.clone()
+		c.Revision = o.last + 1 + uint64(i)
+		flaw(&c)
+		v := &version{revision: c.Revision, doc: c, raw: writeDocument(c), flawed: true}
+		o.send(&order{op: crux.Edit{ID: o.id(), Apply: putEdit(base.revision, v.raw)}, v: v, base: base.revision})
+	}
+	o.last += uint64(len(flaws))
+}
+
+// looks asks every node for the routes that two versions differ in, soon after the change and when it must be obeyed.
+func (o *operators) looks(was, is *version) {
+	var paths []string
+	for _, r := range append(was.clone().Routes, is.doc.Routes...) {
+		path := prefixOf(r.Name) + "x"
+		if !isIdle(r) || slices.Contains(paths, path) || len(paths) > 20 {
+			continue
+		}
+		a, b := was.route(path), is.route(path)
+		if a == nil || b == nil || !slices.Equal(a.Split, b.Split) {
+			paths = append(paths, path)
+		}
+	}
+	o.rng.Shuffle(len(paths), func(i, j int) { paths[i], paths[j] = paths[j], paths[i] })
+	paths = append(paths[:min(len(paths), 3)], prefixOf("never")+"x")
+	for _, d := range []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, applyWithin + 50*time.Millisecond} {
+		o.s.w.after(d, func() {
+			for _, n := range o.s.w.Nodes {
+				for _, path := range paths {
+					o.s.lookAt(n, path, is.revision)
+				}
+			}
+		})
+	}
+}
+
+func (s *site) lookAt(n *Node, path string, revision uint64) {
+	if !n.Alive {
+		return
+	}
+	s.load.n++
+	q := &want{
+		s: s, id: fmt.Sprintf("look%d", s.load.n), class: &s.look, path: path, domain: n.Domain, at: s.w.now, until: s.w.now + time.Second, events: 1, prompt: 1,
+		work: 5 * time.Millisecond, tries: 1,
+	}
+	c := &try{want: q, id: q.id, n: n, path: path, sent: s.w.now, patience: time.Second, probe: &look{revision: revision}}
+	s.rules.submitted(c)
+	c.start()
+}
--- /dev/null
+++ b/stage/client.go
@@ -0,0 +1,179 @@
+package stage
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/ferry"
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+// A want is what a user agent wants, over all its tries.
+type want struct {
+	s      *site
+	id     string
+	class  *TrafficClass
+	path   string
+	prefix string
+	parts  []hint.Part
+	prompt int
+	events int
+	work   time.Duration
+	domain string
+	at     time.Duration
+	until  time.Duration
+	tries  int
+	last   int
+	first  time.Duration
+	spoke  time.Duration
+	gap    time.Duration
+	served bool
+	over   bool
+}
+
+// data is the n-th event, or the whole answer, of one run.
+func (q *want) data(n int, run string) (raw []byte) {
+	if !q.class.Streaming {
+		return fmt.Appendf(nil, "%s of %s", q.id, run)
+	}
+	return fmt.Appendf(nil, "id: %d\ndata: %s %s %d\n\n", n, q.id, run, q.events)
+}
+
+// A try is one request of a user agent to one node.
+type try struct {
+	want     *want
+	n        *Node
+	id       string
+	path     string
+	sent     time.Duration
+	patience time.Duration
+	last     int
+	passes   int
+	read     bool
+	over     bool
+	t        *trip
+	due      time.Duration
+	h        *head
+	text     []byte
+	run      string
+	fault    string
+	status   int
+	// began counts the runs at replicas, made is the newest event of any.
+	began, made int
+	madeAt      time.Duration
+	refused     bool
+	harmed      bool
+	// working tells that a replica was at work when the node's process ended.
+	working bool
+	took    time.Duration
+	probe   *look
+}
+
+const clientDelay = time.Millisecond
+
+func (q *want) submit() {
+	s := q.s
+	q.tries++
+	c := &try{want: q, id: fmt.Sprintf("%s.%d", q.id, q.tries), path: q.path, sent: s.w.now, patience: q.until - s.w.now, last: q.last}
+	if c.n = s.pick(q.domain); c.n == nil {
+		q.failed(c, 0, false)
+		return
+	}
+	s.rules.submitted(c)
+	c.start()
+}
+
+func (c *try) start() {
+	w := c.want.s.w
+	n := c.n
+	w.after(clientDelay, func() {
+		if !n.Alive {
+			if !n.dark {
+				c.cut()
+			}
+			return
+		}
+		n.live(func() {
+			if c.over {
+				return
+			}
+			c.read, c.took = true, w.now
+			c.t = n.begin(c)
+		})
+	})
+	w.after(min(time.Second, c.patience/3), func() {
+		if !c.read && !c.over && (c.want.class.Repeatable || !n.Alive) {
+			c.over = true
+			c.want.failed(c, 0, true)
+		}
+	})
+	w.after(c.patience, func() { c.hangup() })
+	if c.want.class.Streaming {
+		c.want.spoke = w.now
+		c.watch()
+	}
+}
+
+// watch gives a stream up after a long silence.
+func (c *try) watch() {
+	q := c.want
+	most := max(2*time.Second, 4*q.class.Aim, 8*q.class.Gap)
+	quiet := q.s.w.now - q.spoke
+	if quiet >= most {
+		c.hangup()
+	}
+	if !c.over {
+		q.s.w.after(max(most-quiet, time.Millisecond), c.watch)
+	}
+}
+
+func (c *try) hangup() {
+	if c.over {
+		return
+	}
+	c.over = true
+	c.want.s.report.GaveUp++
+	c.want.s.rules.ended(c, "gave up")
+	c.want.done(false)
+	n := c.n
+	c.want.s.w.after(clientDelay, func() {
+		if t := c.t; t != nil && n.Alive && n.life == t.life {
+			n.live(func() {
+				if !t.ex.Over() {
+					t.happened(ferry.HungUp{})
+				}
+			})
+		}
+	})
+}
+
+// send carries what a node sends to the user agent, in order.
+func (c *try) send(_ *Node, do func()) {
+	w := c.want.s.w
+	c.due = max(c.due, w.now+clientDelay)
+	w.at(c.due, func() {
+		if !c.over {
+			do()
+		}
+	})
+}
+
+// failed tries again where that is allowed and there is time.
+func (q *want) failed(c *try, after time.Duration, unrun bool) {
+	left := q.until - q.s.w.now
+	again := q.class.Repeatable || unrun
+	if c.status == http.StatusNotFound || !again || q.tries > 1 || left < 50*time.Millisecond || (q.last > 0 && !q.class.Resumable) || c.probe != nil {
+		q.done(false)
+		return
+	}
+	q.s.w.after(min(after, left/3)+time.Millisecond, q.submit)
+}
+
+func (q *want) done(served bool) {
+	if q.over {
+		return
+	}
+	q.over, q.served = true, served
+	q.s.report.end(q)
+}
--- /dev/null
+++ b/stage/days.go
@@ -0,0 +1,109 @@
+package stage
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// A Day is a scene at a site.
+type Day struct {
+	Name string
+	// Least is the share of requests that must be served.
+	Least  float64
+	Faults func(s SiteSpec, rng *rand.Rand) (fs []Fault)
+	Lasts  time.Duration
+	// Close comes right after the last acknowledgement of the day.
+	Close func(s SiteSpec, rng *rand.Rand, acked string) (fs []Fault)
+	Loss  float64
+}
+
+const dayLasts = 32 * sec
+
+func (d Day) Scenario(spec SiteSpec, seed uint64) (s Scenario) {
+	rng := rand.New(rand.NewPCG(seed, 73))
+	s = Scenario{Seed: seed, Site: &spec, Lasts: dayLasts, Loss: d.Loss}
+	if d.Lasts > 0 {
+		s.Lasts = d.Lasts
+	}
+	if d.Faults != nil {
+		s.Faults = d.Faults(spec, rng)
+	}
+	if d.Close != nil {
+		at := s.Lasts
+		s.Lasts += 20 * sec
+		s.Tune = func(w *World) {
+			w.at(at, func() { w.site.closing(func(acked string) []Fault { return d.Close(spec, rng, acked) }) })
+		}
+	}
+	return s
+}
+
+// closing has a document taken, and the fault strike in the same moment.
+func (s *site) closing(faults func(acked string) (fs []Fault)) {
+	s.ops.acked = func(n *Node) {
+		for _, f := range faults(n.Name) {
+			s.w.Break(f)
+			s.report.after = max(s.report.after, s.w.now+f.For+recoverIn)
+		}
+	}
+	s.ops.put(s.ops.vary, nil)
+}
+
+func disks(s SiteSpec) (names []string) {
+	for _, n := range s.Shape.Nodes {
+		if n.Disk {
+			names = append(names, n.Name)
+		}
+	}
+	return names
+}
+
+func fixedDay(fs ...Fault) func(SiteSpec, *rand.Rand) []Fault {
+	return func(SiteSpec, *rand.Rand) []Fault { return fs }
+}
+
+// each repeats a trouble of one kind, on so many of the names each time.
+func each(kind string, times int, gap, d time.Duration, names []string, n int) func(*rand.Rand) []Fault {
+	return func(rng *rand.Rand) (fs []Fault) {
+		for i := range times {
+			fs = append(fs, one(kind, 12*sec+time.Duration(i)*gap, d, some(rng, names, n)...))
+		}
+		return fs
+	}
+}
+
+func Days() (all []Day) { return append(append(replicaDays(), nodeDays()...), orderDays()...) }
+
+func replicaDays() (all []Day) {
+	llm := func(kind string, d time.Duration, at ...time.Duration) func(SiteSpec, *rand.Rand) []Fault {
+		return func(s SiteSpec, _ *rand.Rand) (fs []Fault) {
+			for _, t := range at {
+				fs = append(fs, one(kind, t, d, s.Offers[0].Name))
+			}
+			return fs
+		}
+	}
+	garble := func(how string) func(SiteSpec, *rand.Rand) []Fault { return fixedDay(one(Garble, 12*sec, 10*sec, how)) }
+	return []Day{
+		{Name: "calm", Least: 0.99},
+		{Name: "release", Least: 0.95, Faults: llm(Release, 0, 12*sec, 20*sec)},
+		{Name: "release of the other offer", Least: 0.9, Faults: func(s SiteSpec, _ *rand.Rand) []Fault {
+			return []Fault{one(Release, 12*sec, 0, s.Offers[1].Name), one(Release, 19*sec, 0, s.Offers[0].Name)}
+		}},
+		{Name: "replicas crash", Faults: llm(RepCrash, 3*sec, 12*sec, 17*sec, 22*sec)},
+		{Name: "replicas are lost for good", Faults: llm(RepCrash, -1, 13*sec)},
+		{Name: "replicas go dark", Faults: llm(RepDark, 5*sec, 12*sec, 20*sec)},
+		{Name: "scale in and out", Least: 0.9, Faults: func(s SiteSpec, _ *rand.Rand) []Fault {
+			return []Fault{one(ScaleIn, 12*sec, 0, s.Offers[0].Name), one(ScaleOut, 18*sec, 0)}
+		}},
+		{Name: "burst", Faults: fixedDay(one(Burst, 13*sec, 5*sec))},
+		{Name: "hot key", Least: 0.95, Faults: fixedDay(one(HotKey, 13*sec, 8*sec))},
+		{Name: "answers are cut", Faults: garble("cut")},
+		{Name: "answers are followed by others", Faults: garble("surplus")},
+		{Name: "answers are followed late", Faults: garble("late")},
+		{Name: "answers are junk", Faults: garble("junk")},
+		{Name: "answers are lost by reset", Faults: garble("reset")},
+		{Name: "answers never come", Faults: garble("silent")},
+		{Name: "list is down", Least: 0.95, Faults: fixedDay(one(ListDown, 14*sec, 4*sec))},
+	}
+}
--- /dev/null
+++ b/stage/document.go
@@ -0,0 +1,161 @@
+package stage
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/pact"
+)
+
+// A site's operators write a charter.Charter as JSON: routes, offers whose replicas are discovered, limits and a revision.
+
+func flawed(path, val, bound string) (err error) {
+	return trace.Wrap(&charter.BadError{Flaws: []charter.Flaw{{Path: path, Value: val, Bound: bound}}})
+}
+
+// readDocument is the charter.Reader of a site.
+func readDocument(raw []byte) (c charter.Charter, err error) {
+	if err = json.Unmarshal(raw, &c); err != nil {
+		return charter.Charter{}, flawed("$", err.Error(), "a charter")
+	}
+	if c.Revision == 0 {
+		return charter.Charter{}, flawed("$.Revision", "0", "above 0")
+	}
+	offers := map[string]bool{}
+	for _, o := range c.Offers {
+		offers[o.Name] = true
+	}
+	places := map[string]bool{}
+	for i, r := range c.Routes {
+		at, sum := fmt.Sprintf("$.Routes[%d]", i), 0.0
+		for _, s := range r.Split {
+			if !offers[s.Offer] {
+				return charter.Charter{}, flawed(at+".Split", s.Offer, "a known offer")
+			}
+			sum += s.Weight
+		}
+		switch place := r.Host + r.Prefix; {
+		case sum <= 0:
+			return charter.Charter{}, flawed(at+".Split", "0 in all", "above 0")
+		case r.Timeout <= 0:
+			return charter.Charter{}, flawed(at+".Timeout", "0", "above 0")
+		case places[place]:
+			return charter.Charter{}, flawed(at+".Prefix", place, "named once")
+		default:
+			places[place] = true
+		}
+	}
+	return c, nil
+}
+
+func writeDocument(c charter.Charter) (raw []byte) {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+const siteHost = "site.example"
+
+func prefixOf(name string) (p string) { return "/" + name + "/" }
+
+// first is the document that a day begins with.
+func (s SiteSpec) first() (c charter.Charter) {
+	c.Revision = 1
+	for _, o := range s.Offers {
+		c.Offers = append(c.Offers, charter.Offer{
+			Name: o.Name, Model: Prompt, Discovered: true, Queues: true, MaxConns: o.MaxConns, ColdRate: o.ColdRate, ColdFor: o.ColdFor,
+			KeepTokens: o.Memory, Stride: o.Stride, SecondShare: retryShare, SecondPlus: retryExtra * 3 / 4, StaleCap: guessMost,
+		})
+	}
+	for _, t := range s.Classes {
+		c.Routes = append(c.Routes, charter.Route{
+			Name: t.Name, Host: siteHost, Prefix: prefixOf(t.Name), Split: []charter.Split{{Offer: t.Offer, Weight: 1}}, Streaming: t.Streaming,
+			Repeatable: t.Repeatable, Resumable: t.Resumable, Timeout: t.Deadline, FirstToken: t.Aim, Gap: t.Gap, Attempts: t.Attempts, Rank: t.Rank,
+		})
+	}
+	for i := range s.Idle {
+		c.Routes = append(c.Routes, s.idle(fmt.Sprintf("idle%d", i+1), i))
+	}
+	return c
+}
+
+// idle is a route that only lookers use; it may go to any offer.
+func (s SiteSpec) idle(name string, offer int) (r charter.Route) {
+	plain := s.Classes[len(s.Classes)-1]
+	return charter.Route{
+		Name: name, Host: siteHost, Prefix: prefixOf(name), Split: []charter.Split{{Offer: s.Offers[offer%len(s.Offers)].Name, Weight: 1}}, Repeatable: true,
+		Timeout: plain.Deadline, FirstToken: plain.Aim, Attempts: 1, Rank: 3,
+	}
+}
+
+// An edit makes the next document of the one in place.
+type edit = func(cur []byte) (next []byte, err error)
+
+func revisionIn(cur []byte) (n uint64, err error) {
+	if len(cur) == 0 {
+		return 0, nil
+	}
+	c, err := readDocument(cur)
+	return c.Revision, err
+}
+
+// putEdit replaces the whole document of the revision base.
+func putEdit(base uint64, raw []byte) (e edit) {
+	return func(cur []byte) (next []byte, err error) {
+		at, err := revisionIn(cur)
+		if err != nil {
+			return nil, err
+		}
+		if at != base {
+			return nil, &pact.ConflictError{Mark: at}
+		}
+		c, err := readDocument(raw)
+		if err == nil && c.Revision <= base {
+			err = flawed("$.Revision", fmt.Sprint(c.Revision), fmt.Sprintf("above %d", base))
+		}
+		return raw, err
+	}
+}
+
+// patchEdit adds or replaces routes by name and removes others.
+func patchEdit(base, revision uint64, upsert []charter.Route, remove []string) (e edit) {
+	return func(cur []byte) (next []byte, err error) {
+		c, err := readDocument(cur)
+		if err != nil {
+			return nil, err
+		}
+		if c.Revision != base {
+			return nil, &pact.ConflictError{Mark: c.Revision}
+		}
+		c.Revision = revision
+		c.Routes = slices.DeleteFunc(c.Routes, func(r charter.Route) bool { return slices.Contains(remove, r.Name) })
+		for _, u := range upsert {
+			at := slices.IndexFunc(c.Routes, func(r charter.Route) bool { return r.Name == u.Name })
+			if at < 0 {
+				c.Routes = append(c.Routes, u)
+				continue
+			}
+			c.Routes[at] = u
+		}
+		raw := writeDocument(c)
+		_, err = readDocument(raw)
+		return raw, err
+	}
+}
+
+// routeFor finds the route of a request as the document has it, or nothing.
+func routeFor(c *charter.Charter, path string) (r *charter.Route) {
+	for i := range c.Routes {
+		if o := &c.Routes[i]; strings.HasPrefix(path, o.Prefix) && (r == nil || len(o.Prefix) > len(r.Prefix)) {
+			r = o
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/stage/engine.go
@@ -0,0 +1,232 @@
+package stage
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+// EngineSpec describes a replica that runs its requests in one batch. Without Step it generates nothing, and each request takes its
+// own time of work.
+type EngineSpec struct {
+	Slots int
+	Queue int
+	// Setup passes before a request joins the queue.
+	Setup time.Duration
+	// Step is how long one token of all takes, PerSlot what each further request of the batch adds.
+	Step, PerSlot time.Duration
+	// Prefill is how many tokens of prompts are read in a millisecond, Chunk the most that are read within one step.
+	Prefill float64
+	Chunk   int
+	// Memory is shared by running requests and kept parts, in tokens.
+	Memory int
+	// Stride is how many tokens an event holds.
+	Stride int
+}
+
+type Engine struct {
+	EngineSpec
+	q *queue
+	// Slow multiplies the time that everything takes.
+	Slow     func() (factor float64)
+	cache    prefixCache
+	waiting  []*job
+	running  []*job
+	arriving int
+	held     int
+	seq      int
+	stepping bool
+	dead     bool
+
+	Admitted, Refused, Preempted uint64
+	Prompted, Cached             uint64
+}
+
+func NewEngine(q *queue, s EngineSpec) (e *Engine) {
+	return &Engine{EngineSpec: s, q: q, Slow: func() float64 { return 1 }, cache: newPrefixCache()}
+}
+
+// Load is what a replica tells of itself in answers.
+func (e *Engine) Load() (running, waiting, slots int) {
+	return len(e.running), len(e.waiting) + e.arriving, e.Slots
+}
+
+// Take lets a job in, or turns it away when the queue is full or it is larger than the memory.
+func (e *Engine) Take(j *job) (ok bool) {
+	full := len(e.running) >= e.Slots || len(e.waiting)+e.arriving > 0
+	if (full && len(e.waiting)+e.arriving >= e.Queue) || (e.Memory > 0 && j.prompt+j.out > e.Memory) {
+		e.Refused++
+		return false
+	}
+	e.Admitted++
+	e.seq++
+	j.seq = e.seq
+	e.arriving++
+	e.q.after(e.Setup, func() {
+		e.arriving--
+		if j.gone || e.dead {
+			return
+		}
+		e.join(j)
+		e.kick()
+	})
+	return true
+}
+
+func (e *Engine) join(j *job) {
+	at := sort.Search(len(e.waiting), func(i int) bool {
+		o := e.waiting[i]
+		return o.rank > j.rank || (o.rank == j.rank && o.seq > j.seq)
+	})
+	e.waiting = slices.Insert(e.waiting, at, j)
+}
+
+// Drop forgets a job whose connection closed.
+func (e *Engine) Drop(j *job) {
+	if j.gone {
+		return
+	}
+	j.gone = true
+	e.waiting = slices.DeleteFunc(e.waiting, func(o *job) bool { return o == j })
+	e.leave(j)
+	e.kick()
+}
+
+func (e *Engine) leave(j *job) {
+	n := len(e.running)
+	e.running = slices.DeleteFunc(e.running, func(o *job) bool { return o == j })
+	if len(e.running) < n {
+		e.held -= j.held
+		j.held = 0
+	}
+}
+
+func (e *Engine) Stop() { e.dead = true }
+
+func (e *Engine) kick() {
+	if e.dead {
+		return
+	}
+	e.admit()
+	if e.Step > 0 && !e.stepping && len(e.running) > 0 {
+		e.stepping = true
+		e.step()
+	}
+}
+
+func (e *Engine) admit() {
+	for len(e.waiting) > 0 && len(e.running) < e.Slots {
+		j := e.waiting[0]
+		if j.until > 0 && e.q.now >= j.until && !j.started {
+			e.waiting = e.waiting[1:]
+			j.gone = true
+			j.late()
+			continue
+		}
+		if !e.fits(j) {
+			return
+		}
+		e.waiting = e.waiting[1:]
+		e.running = append(e.running, j)
+		if e.Step == 0 {
+			e.labour(j)
+			continue
+		}
+		cached := min(e.cache.hit(j.parts), j.prompt-1)
+		e.cache.touch(j.parts)
+		if !j.joined {
+			j.joined, j.cached = true, cached
+			e.Prompted, e.Cached = e.Prompted+uint64(hint.Tokens(j.parts)), e.Cached+uint64(cached)
+		}
+		j.unread = j.prompt - cached + j.made
+		j.held = j.unread
+		e.held += j.held
+		e.cache.evict(max(e.Memory-e.held, 0))
+	}
+}
+
+// fits leaves room for what the batch goes on to make.
+func (e *Engine) fits(j *job) (yes bool) {
+	return e.Memory == 0 || len(e.running) == 0 || e.held+j.prompt+j.made <= e.Memory-e.Memory/64
+}
+
+func (e *Engine) labour(j *job) {
+	j.start()
+	e.q.after(time.Duration(float64(j.work)*e.Slow()), func() {
+		if j.gone || e.dead {
+			return
+		}
+		e.leave(j)
+		j.gone = true
+		j.event(1, true)
+		e.kick()
+	})
+}
+
+func (e *Engine) step() {
+	left, read := e.Chunk, 0
+	for _, j := range e.running {
+		j.reading = min(j.unread, left)
+		left -= j.reading
+		read += j.reading
+	}
+	d := float64(e.Step) + float64(len(e.running)-1)*float64(e.PerSlot) + float64(read)/e.Prefill*float64(time.Millisecond)
+	batch := slices.Clone(e.running)
+	e.q.after(time.Duration(d*e.Slow()), func() {
+		if e.dead {
+			return
+		}
+		for _, j := range batch {
+			e.advance(j)
+		}
+		e.preempt()
+		e.stepping = false
+		e.kick()
+	})
+}
+
+// advance reads a piece of a prompt, or makes a token; the last piece brings the first token.
+func (e *Engine) advance(j *job) {
+	if j.gone || j.held == 0 {
+		return
+	}
+	if j.unread > 0 {
+		j.unread -= j.reading
+		if j.unread > 0 || j.reading == 0 {
+			return
+		}
+		fresh := min(e.cache.keep(j.parts), j.held-1)
+		j.held -= fresh
+		e.held -= fresh
+	}
+	j.start()
+	j.made++
+	j.held++
+	e.held++
+	last := j.made >= j.out
+	if last {
+		e.leave(j)
+		j.gone = true
+	}
+	if last || j.made%e.Stride == 0 {
+		j.event((j.made+e.Stride-1)/e.Stride, last)
+	}
+}
+
+// preempt puts the newest of the least urgent back when memory has run out, to be read anew.
+func (e *Engine) preempt() {
+	for e.held > e.Memory && len(e.running) > 1 {
+		worst := slices.MaxFunc(e.running, func(a, b *job) int {
+			if a.rank != b.rank {
+				return a.rank - b.rank
+			}
+			return a.seq - b.seq
+		})
+		e.leave(worst)
+		e.join(worst)
+		e.Preempted++
+	}
+	e.cache.evict(max(e.Memory-e.held, 0))
+}
--- /dev/null
+++ b/stage/engine_test.go
@@ -0,0 +1,121 @@
+package stage
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+type timed struct {
+	begun, first, last time.Duration
+	events             int
+}
+
+func newTestEngine(s EngineSpec) (q *queue, e *Engine) {
+	q = &queue{}
+	return q, NewEngine(q, s)
+}
+
+func (x *timed) job(q *queue, header string, prompt, out, rank int) (j *job) {
+	parts, _ := hint.Parse(Prompt, header)
+	return &job{
+		parts: parts, prompt: prompt, out: out, rank: rank, begun: func() { x.begun = q.now }, late: func() {},
+		event: func(_ int, last bool) {
+			if x.events++; x.events == 1 {
+				x.first = q.now
+			}
+			if last {
+				x.last = q.now
+			}
+		},
+	}
+}
+
+func spec() (s EngineSpec) { return llmOffer("o", 1, 100000).EngineSpec }
+
+func TestTokensComeMoreSlowlyInALargerBatch(t *testing.T) {
+	spans := map[int]time.Duration{}
+	for _, n := range []int{1, 64} {
+		q, e := newTestEngine(spec())
+		xs := make([]timed, n)
+		for i := range xs {
+			e.Take(xs[i].job(q, "", 100, 600, 0))
+		}
+		q.run(time.Minute)
+		spans[n] = xs[0].last - xs[0].first
+	}
+	if spans[64] < 2*spans[1] {
+		t.Errorf("600 tokens take %s alone and %s among 64", spans[1], spans[64])
+	}
+}
+
+func TestALongPromptDelaysTheTokensOfOthers(t *testing.T) {
+	q, e := newTestEngine(spec())
+	var short, long timed
+	e.Take(short.job(q, "", 100, 60, 0))
+	q.run(100 * time.Millisecond)
+	alone := short.first
+	e.Take(long.job(q, "", 50000, 6, 0))
+	q.run(10 * time.Second)
+	if short.last-alone < 300*time.Millisecond || long.first < 500*time.Millisecond {
+		t.Errorf("short from %s to %s, long from %s", alone, short.last, long.first)
+	}
+}
+
+func TestKeptPartsAreNotReadAgainUntilTheyGiveWay(t *testing.T) {
+	q, e := newTestEngine(spec())
+	first := func(header string, prompt int) (took time.Duration) {
+		var x timed
+		from := q.now
+		e.Take(x.job(q, header, prompt, 1, 0))
+		q.run(q.now + 10*time.Second)
+		return x.first - from
+	}
+	cold := first("a:30000,b:100", 30200)
+	warm := first("a:30000,c:100", 30200)
+	other := first("c:30000,a:100", 30200)
+	if warm > cold/2 || other < cold*9/10 {
+		t.Errorf("first %s, again %s, other order %s", cold, warm, other)
+	}
+	for _, header := range []string{"x:30000", "y:30000", "z:30000"} {
+		first(header, 30200)
+	}
+	if again := first("a:30000,b:100", 30200); again < cold*9/10 {
+		t.Errorf("after others filled the memory %s, at first %s", again, cold)
+	}
+}
+
+func TestMemoryPutsTheLeastUrgentBack(t *testing.T) {
+	s := spec()
+	s.Memory = 1000
+	q, e := newTestEngine(s)
+	var urgent, patient timed
+	e.Take(urgent.job(q, "", 400, 500, 0))
+	e.Take(patient.job(q, "", 400, 500, 5))
+	q.run(time.Minute)
+	if e.Preempted == 0 || urgent.last == 0 || patient.last < urgent.last {
+		t.Errorf("preempted %d, urgent ends at %s, patient at %s", e.Preempted, urgent.last, patient.last)
+	}
+	var huge timed
+	if e.Take(huge.job(q, "", 1200, 1, 0)) {
+		t.Error("a prompt larger than the memory was taken")
+	}
+}
+
+func TestAFullQueueRefuses(t *testing.T) {
+	q, e := newTestEngine(EngineSpec{Slots: 2, Queue: 3})
+	taken := 0
+	for range 8 {
+		var x timed
+		j := x.job(q, "", 1, 1, 0)
+		j.work = time.Second
+		if e.Take(j) {
+			taken++
+		}
+		q.run(q.now)
+	}
+	if running, waiting, _ := e.Load(); taken != 5 || running != 2 || waiting != 3 {
+		t.Errorf("%d taken, %d run, %d wait", taken, running, waiting)
+	}
+}
--- a/stage/faults.go
+++ b/stage/faults.go
@@ -66,6 +66,10 @@
 
 func (w *World) Break(f Fault) {
 	w.Say("fault %s %v for %s", f.Kind, f.On, f.For)
+	if w.site != nil {
+		w.site.strike(f)
+		return
+	}
 	ns := w.nodes(f.On)
 	switch f.Kind {
 	case Kill, Power, Wipe, Move, AllDown, ClockBack:
--- a/stage/gate.go
+++ b/stage/gate.go
@@ -117,6 +117,9 @@
 		if f := n.asks[d.Request]; f != nil {
 			f.do(f.passage.Decided(d))
 		}
+		if t := n.trips[d.Request]; t != nil {
+			t.decided(d)
+		}
 	}
 }
 
--- /dev/null
+++ b/stage/instance.go
@@ -0,0 +1,196 @@
+package stage
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+)
+
+// An Instance is one life of a replica at an address.
+type Instance struct {
+	s        *site
+	ID, Addr string
+	Domain   string
+	offer    *OfferSpec
+	pace     float64
+	eng      *Engine
+	up, dark bool
+	born     time.Duration
+	leaves   time.Duration
+	ends     time.Duration
+	lost     bool
+	chilled  time.Duration
+	coldTill time.Duration
+	sockets  []*socket
+	arrivals []arrival
+	garble   garble
+}
+
+type arrival struct{ sent, at time.Duration }
+
+// A garble spoils the share of answers that Every gives: how is cut, junk, surplus, late, reset or silent.
+type garble struct {
+	every int
+	how   string
+}
+
+const (
+	never       = time.Duration(1<<62 - 1)
+	lingers     = 1500 * time.Millisecond
+	closesEvery = 50
+)
+
+func (s *site) launch(o *OfferSpec, domain, addr string, pace float64, cold bool) (i *Instance) {
+	s.born++
+	i = &Instance{
+		s: s, ID: fmt.Sprintf("i-%d", s.born), Addr: addr, Domain: domain, offer: o, pace: pace, eng: NewEngine(&s.w.queue, o.EngineSpec),
+		up: true, born: s.w.now, leaves: never, ends: never,
+	}
+	i.eng.Slow = func() float64 {
+		if s.w.now < i.coldTill {
+			return i.pace * 2
+		}
+		return i.pace
+	}
+	if cold {
+		i.chill()
+	} else {
+		i.born = -time.Minute
+	}
+	s.at[addr] = i
+	s.instances = append(s.instances, i)
+	return i
+}
+
+func (i *Instance) chill() { i.chilled, i.coldTill = i.s.w.now, i.s.w.now+i.offer.ColdFor }
+
+func (i *Instance) cold() (yes bool) {
+	return i.offer.ColdRate > 0 && i.s.w.now < i.coldTill
+}
+
+// drain has the list show that the instance leaves; it serves on for a little more than it must.
+func (i *Instance) drain() {
+	if !i.up || i.leaves != never {
+		return
+	}
+	i.leaves = i.s.w.now
+	i.s.w.Say("%s at %s drains", i.ID, i.Addr)
+	i.s.w.after(listBehind+drainWithin+500*time.Millisecond, func() { i.end(false) })
+}
+
+// end is the end of a life: planned, or as a crash, which the list notices late.
+func (i *Instance) end(crash bool) {
+	if !i.up {
+		return
+	}
+	i.up, i.ends, i.lost = false, i.s.w.now, crash
+	i.s.w.Say("%s at %s ends, crash: %v", i.ID, i.Addr, crash)
+	i.eng.Stop()
+	i.s.tallied(i)
+	for _, k := range i.sockets {
+		k.harm()
+		k.down.send(func() { k.take(packet{reset: true}) })
+	}
+	i.sockets = nil
+}
+
+// accept takes a new connection, unless too many are open.
+func (i *Instance) accept(k *socket) (ok bool) {
+	if !i.up || len(i.sockets) >= i.offer.MaxConns {
+		return false
+	}
+	i.sockets = append(i.sockets, k)
+	i.s.report.Dials++
+	return true
+}
+
+func (i *Instance) hangup(k *socket) {
+	i.sockets = slices.DeleteFunc(i.sockets, func(o *socket) bool { return o == k })
+	if k.job != nil {
+		i.eng.Drop(k.job)
+		k.job = nil
+	}
+}
+
+func (i *Instance) load() (l *mallowbridge.Load) {
+	running, waiting, slots := i.eng.Load()
+	return &mallowbridge.Load{Replica: i.ID, Running: running, Waiting: waiting, Slots: slots}
+}
+
+func (i *Instance) head(r *request, status int) (h *head) {
+	h = &head{status: status, attempt: r.attempt, instance: i.ID, load: i.load(), shut: i.leaves != never}
+	return h
+}
+
+// serve takes a request that came in on a connection.
+func (i *Instance) serve(k *socket, r *request) {
+	if !i.up || i.dark {
+		return
+	}
+	w := i.s.w
+	if r.target != "" && r.target != i.ID {
+		h := i.head(r, http.StatusMisdirectedRequest)
+		h.notRun = true
+		k.reply(packet{head: h, end: true})
+		return
+	}
+	i.s.rules.arrived(i, r)
+	i.arrivals = append(i.arrivals, arrival{sent: r.sent, at: w.now})
+	if i.cold() && i.recent() > 3*int(i.offer.ColdRate)+coldSlack {
+		i.end(true)
+		return
+	}
+	j := i.job(k, r)
+	if !i.eng.Take(j) {
+		i.refuse(k, r)
+		return
+	}
+	k.job = j
+}
+
+func (i *Instance) recent() (n int) {
+	for x := len(i.arrivals) - 1; x >= 0 && i.s.w.now-i.arrivals[x].at < time.Second; x-- {
+		n++
+	}
+	return n
+}
+
+func (i *Instance) refuse(k *socket, r *request) {
+	h := i.head(r, http.StatusServiceUnavailable)
+	h.notRun = true
+	k.reply(packet{head: h, end: true})
+}
+
+func (i *Instance) row(at time.Duration) (r mallowbridge.Instance) {
+	r = mallowbridge.Instance{
+		ID: i.ID, Offer: i.offer.Name, Addr: i.Addr, Domain: i.Domain, Model: Prompt, Weights: "1", Room: i.offer.Slots, Leaving: i.leaves <= at,
+	}
+	if i.coldTill > 0 && i.chilled <= at {
+		r.Cold = max(i.coldTill-at, 0)
+	}
+	return r
+}
+
+// listed tells whether the list of that moment names the instance.
+func (i *Instance) listed(at time.Duration) (yes bool) {
+	until := i.ends
+	if i.lost && until != never {
+		until += lingers
+	}
+	return i.born <= at && at < until
+}
+
+// shown is when the list first shows the instance as leaving or gone.
+func (i *Instance) shown() (at time.Duration) {
+	at = min(i.leaves, i.ends)
+	if i.lost && i.leaves == never {
+		at = i.ends + lingers
+	}
+	if at == never {
+		return never
+	}
+	return at + listBehind
+}
--- /dev/null
+++ b/stage/job.go
@@ -0,0 +1,39 @@
+package stage
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+// A job is one request at an engine.
+type job struct {
+	parts  []hint.Part
+	prompt int
+	out    int
+	work   time.Duration
+	rank   int
+	// until is when it is no longer worth starting.
+	until time.Duration
+	// begun is called when it starts running, event for each event, from 1, late when its time was over in the queue.
+	begun func()
+	event func(n int, last bool)
+	late  func()
+
+	seq     int
+	unread  int
+	reading int
+	made    int
+	held    int
+	cached  int
+	started bool
+	gone    bool
+	joined  bool
+}
+
+func (j *job) start() {
+	if !j.started {
+		j.started = true
+		j.begun()
+	}
+}
--- a/stage/node.go
+++ b/stage/node.go
@@ -38,6 +38,14 @@
 	asks   map[string]*flight
 	eyes   map[string]*eye
 	tick   func()
+
+	trips   map[string]*trip
+	tripSeq int
+	pool    pool
+	wakes   time.Duration
+	dark    bool
+	mending bool
+	removed bool
 }
 
 func newNode(w *World, i int, s NodeShape) (n *Node) {
@@ -82,6 +90,11 @@
 		Name: n.Name, Addr: n.Addr, Domain: n.Domain, Seeds: n.seeds(), Boot: boot, Inc: crux.Inc(time.UnixMilli(int64(n.unixMs())), w.whim.Uint64()), Seed: w.S.Seed<<16 + n.life,
 		Kin: kin.Defaults(), Rumor: rumor.Defaults(), Build: n.build,
 	}
+	n.dark, n.mending, n.trips, n.pool, n.wakes = false, false, map[string]*trip{}, pool{}, 0
+	rc := mallowbridge.Defaults(n.Name, boot, n.Domain)
+	if w.site != nil {
+		w.site.configure(&cfg, &rc)
+	}
 	if n.Disk != nil {
 		k, err := crux.OpenKeeper(n.Disk, fmt.Sprintf("disk-%s-%d", n.Name, n.life))
 		if err != nil {
@@ -96,7 +109,6 @@
 	}
 	n.node = crux.New(n.local(), cfg)
 	n.front = n.Name + "." + boot
-	rc := mallowbridge.Defaults(n.Name, boot, n.Domain)
 	rc.Market.RoundRobin = w.S.RoundRob
 	n.router = mallowbridge.New(rc)
 	if w.S.IndexOff || w.S.RoundRob {
@@ -112,10 +124,15 @@
 		if !n.frozen {
 			n.novel()
 			n.step(crux.Tick{})
-			n.decide(n.router.Step(n.local(), mallowbridge.Tick{}))
+			if w.site == nil {
+				n.decide(n.router.Step(n.local(), mallowbridge.Tick{}))
+			}
 		}
 	}
 	n.tick()
+	if w.site != nil {
+		n.arm()
+	}
 }
 
 func (n *Node) live(do func()) {
@@ -149,69 +166,6 @@
 	n.live(func() { n.decide(n.router.Step(n.local(), ev)) })
 }
 
-func (n *Node) carry(out crux.Out) {
-	w := n.w
-	for _, s := range out.Sends {
-		to := w.byAddr[s.To]
-		if to == nil {
-			continue
-		}
-		if to.foreign(s.Msg) {
-			w.Audit.breach(Unreadable, to.Name, fmt.Sprintf("%T from %s", s.Msg, n.Name))
-			continue
-		}
-		msgs, delays := w.Net.carry(n.Addr, s.To, n.Domain == to.Domain, s.Msg, fmt.Sprintf("%T", s.Msg))
-		for i, m := range msgs {
-			w.after(delays[i], func() { to.step(crux.Recv{From: n.Addr, Msg: m}) })
-		}
-	}
-	if len(out.Writes) > 0 {
-		n.unsent = append(n.unsent, out.Writes...)
-		n.save()
-	}
-	for _, ev := range out.Events {
-		n.decide(n.router.Step(n.local(), ev))
-		if o, ok := ev.(mallowbridge.Order); ok {
-			w.Audit.obeys(n)
-			n.watch(o.Picture)
-		}
-	}
-	for _, p := range out.Probes {
-		n.probe(p)
-	}
-	for _, name := range out.Looks {
-		n.eyes[name].poke()
-	}
-	for _, c := range out.Changes {
-		w.Say("%s %s: %s", n.Name, c.What, c.Detail)
-		if w.trap != nil {
-			w.trap(n, c.What)
-		}
-	}
-	for _, a := range out.Answers {
-		if done := w.answers[a.ID]; done != nil {
-			delete(w.answers, a.ID)
-			done(a)
-		}
-	}
-}
-
-func (n *Node) save() {
-	if n.saving || n.stall || len(n.unsent) == 0 {
-		return
-	}
-	n.saving = true
-	batch := n.unsent
-	n.unsent = nil
-	d := time.Millisecond + time.Duration(n.w.rng.Int64N(int64(4*time.Millisecond))) + n.slow
-	n.later(d, func() {
-		n.saving = false
-		err := n.keeper.Save(batch)
-		n.step(crux.Saved{Ticket: batch[len(batch)-1].Ticket, Err: err})
-		n.save()
-	})
-}
-
 func (n *Node) kill() {
 	if !n.Alive {
 		return
@@ -223,6 +177,7 @@
 		n.asks[name].orphan()
 	}
 	n.asks = map[string]*flight{}
+	n.halt()
 }
 
 func (n *Node) freeze() {
--- /dev/null
+++ b/stage/nodedays.go
@@ -0,0 +1,90 @@
+package stage
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func nodeDays() (all []Day) {
+	return []Day{
+		{Name: "processes are killed", Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			return each(Kill, 4, 4*sec, 2*sec, nodeNames(s.Shape), 2)(rng)
+		}},
+		{Name: "half are killed at once", Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			return []Fault{one(Kill, 13*sec, 2*sec, some(rng, nodeNames(s.Shape), len(s.Shape.Nodes)*55/100)...)}
+		}},
+		{Name: "half lose power at once", Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			return []Fault{one(Power, 13*sec, 2*sec, some(rng, nodeNames(s.Shape), len(s.Shape.Nodes)*55/100)...)}
+		}},
+		{Name: "all are killed", Faults: func(s SiteSpec, _ *rand.Rand) []Fault {
+			return []Fault{one(Kill, 14*sec, sec, nodeNames(s.Shape)...)}
+		}},
+		{Name: "machines freeze", Faults: func(s SiteSpec, rng *rand.Rand) (fs []Fault) {
+			fs = each(Freeze, 3, 5*sec, 3500*ms, nodeNames(s.Shape)[len(disks(s)):], 1)(rng)
+			return append(fs, one(Freeze, 15*sec, 2*sec, some(rng, disks(s), 1)...), one(PutStorm, 12*sec, 8*sec))
+		}},
+		{Name: "machines are stopped in turn", Least: 0.95, Lasts: 46 * sec, Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			return []Fault{one(Upgrade, 12*sec, 0, some(rng, nodeNames(s.Shape), 5)...)}
+		}},
+		{Name: "machines are cut off", Faults: func(s SiteSpec, rng *rand.Rand) (fs []Fault) {
+			fs = append(each(CutNode, 2, 9*sec, 5500*ms, nodeNames(s.Shape), 2)(rng), each(CutControl, 2, 8*sec, 5*sec, nodeNames(s.Shape), 1)(rng)...)
+			return append(fs, one(PutStorm, 13*sec, 4*sec), one(Release, 14*sec, 0, s.Offers[0].Name))
+		}},
+		{Name: "core is cut", Faults: func(s SiteSpec, _ *rand.Rand) []Fault {
+			return []Fault{one(SplitCore, 13*sec, 5500*ms, disks(s)...), one(Change, 14*sec, 0), one(Change, 20*sec, 0), one(Release, 15*sec, 0, s.Offers[0].Name)}
+		}},
+		{Name: "clocks step", Faults: func(s SiteSpec, rng *rand.Rand) (fs []Fault) {
+			return append(each(ClockBack, 3, 5*sec, sec, nodeNames(s.Shape), 3)(rng), one(PutStorm, 13*sec, 8*sec))
+		}},
+		{Name: "disks are slow, stall and fill", Least: 0.95, Lasts: 40 * sec, Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			return []Fault{
+				one(SlowDisk, 12*sec, 5*sec, some(rng, disks(s), 1)...), one(StallDisk, 18*sec, 3500*ms, some(rng, disks(s), 1)...),
+				one(FullDisk, 24*sec, 4500*ms, some(rng, disks(s), 1)...), one(PutStorm, 12*sec, 18*sec),
+			}
+		}},
+		{Name: "a core machine comes back elsewhere", Lasts: 42 * sec, Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			return []Fault{one(Change, 11*sec, 0), one(Move, 12*sec, sec, disks(s)[0]), one(PutStorm, 14*sec, 10*sec), one(Kill, 26*sec, 2*sec, disks(s)[1]), one(Change, 27*sec, 0)}
+		}},
+		{Name: "replicas crash while nodes are killed", Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			return append(each(Kill, 3, 5*sec, 2*sec, nodeNames(s.Shape), 2)(rng), each(RepCrash, 3, 4*sec, 2*sec, []string{s.Offers[0].Name}, 1)(rng)...)
+		}},
+		{Name: "messages are lost", Loss: 0.02, Least: 0.95, Faults: fixedDay(one(PutStorm, 12*sec, 8*sec))},
+	}
+}
+
+func orderDays() (all []Day) {
+	allDown := func(s SiteSpec, _ *rand.Rand, _ string) []Fault { return []Fault{one(AllDown, 0, sec)} }
+	return []Day{
+		{Name: "one change", Least: 0.99, Faults: fixedDay(one(Change, 13*sec, 0), one(Change, 18*sec, 0))},
+		{Name: "configurations in quick succession", Least: 0.98, Faults: fixedDay(one(PutStorm, 12*sec, 8*sec))},
+		{Name: "operators race", Least: 0.98, Faults: fixedDay(one(Race, 12*sec, 0))},
+		{Name: "flawed configurations", Least: 0.98, Faults: fixedDay(one(BadPuts, 12*sec, 0), one(Change, 14*sec, 0), one(BadPuts, 15*sec, 0))},
+		{Name: "configuration grows", Least: 0.95, Faults: fixedDay(one(LargePuts, 12*sec, 0), one(PutStorm, 15*sec, 4*sec))},
+		{Name: "evacuation and back", Least: 0.9, Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			return []Fault{one(Empty, 12*sec, 8*sec, s.Shape.Domains[rng.IntN(len(s.Shape.Domains))])}
+		}},
+		{Name: "evacuation while nodes are killed", Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			fs := each(Kill, 3, 4*sec, 2*sec, nodeNames(s.Shape), 2)(rng)
+			return append(fs, one(Empty, 13*sec, 9*sec, s.Shape.Domains[rng.IntN(len(s.Shape.Domains))]))
+		}},
+		{Name: "all power is lost after the word", Lasts: 18 * sec, Faults: fixedDay(one(PutStorm, 12*sec, 4*sec)), Close: allDown},
+		{Name: "all are killed after the word", Lasts: 18 * sec, Close: func(s SiteSpec, _ *rand.Rand, _ string) []Fault {
+			return []Fault{one(Kill, 0, sec, nodeNames(s.Shape)...)}
+		}},
+		{Name: "a disk is lost after the word, and all power", Lasts: 18 * sec, Close: func(s SiteSpec, rng *rand.Rand, _ string) []Fault {
+			return []Fault{one(AllDown, 0, sec), one(Wipe, 0, sec, some(rng, disks(s), 1)...)}
+		}},
+		{Name: "evacuated, then all power is lost", Lasts: 18 * sec, Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			return []Fault{one(Empty, 13*sec, 100*sec, s.Shape.Domains[0])}
+		}, Close: allDown},
+		{Name: "disks are lost after the word, one after the other", Lasts: 40 * sec, Faults: func(s SiteSpec, rng *rand.Rand) (fs []Fault) {
+			for i, name := range some(rng, disks(s), 3) {
+				at := 12*sec + time.Duration(i)*9*sec
+				fs = append(fs, one(Change, at-100*ms, 0), one(Wipe, at, 3*sec, name))
+			}
+			return fs
+		}},
+	}
+}
--- /dev/null
+++ b/stage/nodeout.go
@@ -0,0 +1,78 @@
+package stage
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+func (n *Node) carry(out crux.Out) {
+	w := n.w
+	for _, s := range out.Sends {
+		to := w.byAddr[s.To]
+		if to == nil {
+			continue
+		}
+		if to.foreign(s.Msg) {
+			w.Audit.breach(Unreadable, to.Name, fmt.Sprintf("%T from %s", s.Msg, n.Name))
+			continue
+		}
+		msgs, delays := w.Net.carry(n.Addr, s.To, n.Domain == to.Domain, s.Msg, fmt.Sprintf("%T", s.Msg))
+		for i, m := range msgs {
+			w.after(delays[i], func() { to.step(crux.Recv{From: n.Addr, Msg: m}) })
+		}
+	}
+	if len(out.Writes) > 0 {
+		n.unsent = append(n.unsent, out.Writes...)
+		n.save()
+	}
+	if out.List {
+		n.list()
+	}
+	for _, ev := range out.Events {
+		n.decide(n.turn(ev))
+		if o, ok := ev.(mallowbridge.Order); ok {
+			w.Audit.obeys(n)
+			n.watch(o.Picture)
+		}
+	}
+	for _, p := range out.Probes {
+		n.probe(p)
+	}
+	for _, name := range out.Looks {
+		n.eyes[name].poke()
+	}
+	for _, c := range out.Changes {
+		w.Say("%s %s: %s", n.Name, c.What, c.Detail)
+		if w.trap != nil {
+			w.trap(n, c.What)
+		}
+	}
+	for _, a := range out.Answers {
+		if done := w.answers[a.ID]; done != nil {
+			delete(w.answers, a.ID)
+			done(a)
+		}
+	}
+}
+
+func (n *Node) save() {
+	if n.saving || n.stall || len(n.unsent) == 0 {
+		return
+	}
+	n.saving = true
+	batch := n.unsent
+	n.unsent = nil
+	d := time.Millisecond + time.Duration(n.w.rng.Int64N(int64(4*time.Millisecond))) + n.slow
+	n.later(d, func() {
+		n.saving = false
+		err := n.keeper.Save(batch)
+		n.step(crux.Saved{Ticket: batch[len(batch)-1].Ticket, Err: err})
+		n.save()
+		if err != nil && n.w.site != nil && !n.mending {
+			n.mend()
+		}
+	})
+}
--- /dev/null
+++ b/stage/operators.go
@@ -0,0 +1,238 @@
+package stage
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/pact"
+)
+
+// operators send orders to any node and repeat them elsewhere until one answers clearly.
+type operators struct {
+	s    *site
+	rng  *rand.Rand
+	last uint64
+	n    int
+	// acked is called once, right after the next order that is acknowledged.
+	acked func(n *Node)
+}
+
+// An order is one call of an operator, sent unchanged to node after node.
+type order struct {
+	op     crux.Op
+	v      *version
+	base   uint64
+	from   time.Duration
+	until  time.Duration
+	calls  int
+	over   bool
+	vague  bool
+	forced bool
+	end    func(acked bool)
+}
+
+type fate uint8
+
+const (
+	acked fate = iota + 1
+	refused
+	unclear
+)
+
+func fateOf(err error) (f fate) {
+	var conflict *pact.ConflictError
+	var bad *charter.BadError
+	switch {
+	case err == nil:
+		return acked
+	case errors.As(err, &conflict), errors.As(err, &bad):
+		return refused
+	}
+	return unclear
+}
+
+const callAnew = time.Second
+
+func (o *operators) send(d *order) {
+	d.from, d.until = o.s.w.now, o.s.w.now+ackWithin+2*time.Second
+	if d.forced {
+		d.until = never
+	}
+	if d.v != nil {
+		o.s.rules.offered(d.v)
+		d.v.refused = d.v.flawed
+	}
+	o.try(d, 100*time.Millisecond)
+}
+
+func (o *operators) try(d *order, pause time.Duration) {
+	w := o.s.w
+	if d.over {
+		return
+	}
+	if w.now >= d.until {
+		o.settle(d, nil, unclear)
+		return
+	}
+	d.calls++
+	call := d.calls
+	next := func(wait time.Duration) {
+		w.after(wait, func() {
+			if call == d.calls {
+				o.try(d, min(2*pause, time.Second))
+			}
+		})
+	}
+	n := w.Nodes[o.rng.IntN(len(w.Nodes))]
+	if !n.Alive {
+		next(pause)
+		return
+	}
+	sent := w.now
+	w.after(clientDelay, func() {
+		w.Call(n, d.op, func(a crux.Answer) {
+			f := fateOf(a.Err)
+			switch {
+			case d.over || w.now-sent > callAnew || call != d.calls:
+				d.vague = true
+			case f == unclear:
+				d.vague = true
+				next(pause)
+			default:
+				o.settle(d, n, f)
+			}
+		})
+	})
+	next(callAnew)
+}
+
+// settle ends an order. One that was answered vaguely before may be in force though it was refused.
+func (o *operators) settle(d *order, n *Node, f fate) {
+	w, v := o.s.w, d.v
+	d.over = true
+	w.Say("order %d is settled: %v after %s", d.base, f, w.now-d.from)
+	if v != nil {
+		switch {
+		case f == acked && v.flawed:
+			o.s.rules.breach(RuleTaken, fmt.Sprint(v.revision), "flawed, and taken by %s", n.Name)
+		case f == acked:
+			v.acked = w.now
+			o.s.report.Puts++
+			o.rival(v, d)
+		case f == refused && !d.vague:
+			v.refused = true
+			o.s.report.PutsRefused++
+		}
+	}
+	if f != acked && !d.forced && (v == nil || !v.flawed) && w.now-d.from >= ackWithin && o.s.rules.still("", d.from, w.now) {
+		o.s.rules.breach(RuleAcks, fmt.Sprint(d.base), "not within %s", w.now-d.from)
+	}
+	if f == acked && o.acked != nil {
+		then := o.acked
+		o.acked = nil
+		then(n)
+	}
+	if d.end != nil {
+		d.end(f == acked)
+	}
+}
+
+// rival looks for another change that was taken on top of the same version.
+func (o *operators) rival(v *version, d *order) {
+	for _, x := range o.s.rules.versions {
+		if x != v && x.acked > 0 && x.base == d.base && d.base > 0 {
+			o.s.rules.breach(RuleTaken, fmt.Sprint(v.revision), "and %d, both on top of %d", x.revision, d.base)
+		}
+	}
+	v.base = d.base
+}
+
+func (o *operators) id() (id string) {
+	o.n++
+	return fmt.Sprintf("order-%d", o.n)
+}
+
+func (o *operators) revision() (n uint64) {
+	o.last += 1 + uint64(o.rng.IntN(3))
+	return o.last
+}
+
+// open puts the first document, again and again until it is taken.
+func (o *operators) open() {
+	c := o.s.spec.first()
+	c.Revision = o.revision()
+	v := &version{revision: c.Revision, doc: c, raw: writeDocument(c)}
+	o.send(&order{op: crux.Edit{ID: o.id(), Apply: putEdit(0, v.raw)}, v: v, forced: true})
+}
+
+// put replaces the document by what vary makes of the newest one; patch says only what differs.
+func (o *operators) put(vary func(c *charter.Charter), end func(v *version, acked bool)) {
+	base := o.s.rules.newest()
+	if base == nil {
+		return
+	}
+	o.put2(base, vary, end)
+}
+
+func (o *operators) put2(base *version, vary func(c *charter.Charter), end func(v *version, acked bool)) {
+	c := base.clone()
+	vary(&c)
+	c.Revision = o.revision()
+	v := &version{revision: c.Revision, doc: c, raw: writeDocument(c)}
+	e := putEdit(base.revision, v.raw)
+	if o.rng.IntN(2) == 0 {
+		e = patchEdit(base.revision, c.Revision, c.Routes, gone(base.doc.Routes, c.Routes))
+		v.raw, _ = e(base.raw)
+	}
+	o.send(&order{op: crux.Edit{ID: o.id(), Apply: e}, v: v, base: base.revision, end: func(ok bool) {
+		if end != nil {
+			end(v, ok)
+		}
+	}})
+}
+
+func (v *version) clone() (c charter.Charter) {
+	c = v.doc
+	c.Routes = append([]charter.Route(nil), c.Routes...)
+	return c
+}
+
+func gone(old, fresh []charter.Route) (names []string) {
+	kept := map[string]bool{}
+	for _, r := range fresh {
+		kept[r.Name] = true
+	}
+	for _, r := range old {
+		if !kept[r.Name] {
+			names = append(names, r.Name)
+		}
+	}
+	return names
+}
+
+// evacuate closes a domain, or opens it again after its replicas turned cold.
+func (o *operators) evacuate(domain string, back bool) {
+	r := o.s.rules
+	if back {
+		if e := r.evacs[domain]; e != nil {
+			e.lifted = true
+		}
+		for _, i := range o.s.instances {
+			if i.up && i.Domain == domain && i.offer.ColdRate > 0 {
+				i.chill()
+			}
+		}
+	}
+	o.send(&order{op: crux.Empty{ID: o.id(), Domain: domain, Restore: back}, end: func(ok bool) {
+		if ok && !back {
+			r.evacs[domain] = &evacuation{acked: o.s.w.now}
+		}
+		if ok && back {
+			delete(r.evacs, domain)
+		}
+	}})
+}
--- /dev/null
+++ b/stage/rulesconfig.go
@@ -0,0 +1,163 @@
+package stage
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+)
+
+// A version is one document that operators sent. It may be in force from then on, unless it was refused.
+type version struct {
+	revision uint64
+	doc      charter.Charter
+	raw      []byte
+	base     uint64
+	flawed   bool
+	offered  time.Duration
+	acked    time.Duration
+	refused  bool
+	routes   map[string]*charter.Route
+}
+
+// A floor is the least version that a life of a node has shown to obey, and since when.
+type floor struct {
+	revision uint64
+	at       time.Duration
+}
+
+func (r *rules) offered(v *version) {
+	v.offered, v.routes = r.s.w.now, map[string]*charter.Route{}
+	r.versions = append(r.versions, v)
+}
+
+func (v *version) route(path string) (rt *charter.Route) {
+	rt, known := v.routes[path]
+	if !known {
+		rt = routeFor(&v.doc, path)
+		v.routes[path] = rt
+	}
+	return rt
+}
+
+func (v *version) allows(path, offer string) (rt *charter.Route) {
+	if rt = v.route(path); rt != nil {
+		for _, s := range rt.Split {
+			if s.Offer == offer && s.Weight > 0 {
+				return rt
+			}
+		}
+	}
+	return nil
+}
+
+// offers are those that any version sends the path to.
+func (r *rules) offers(path string) (names []string) {
+	seen := map[string]bool{}
+	for _, v := range r.versions {
+		if rt := v.route(path); rt != nil && !v.refused {
+			for _, s := range rt.Split {
+				if !seen[s.Offer] {
+					seen[s.Offer] = true
+					names = append(names, s.Offer)
+				}
+			}
+		}
+	}
+	return names
+}
+
+// due is the newest version that a request sent then must be handled by, or by a later one.
+func (r *rules) due(sent, within time.Duration) (revision uint64) {
+	for _, v := range r.versions {
+		if v.acked > 0 && sent > v.acked+within {
+			revision = max(revision, v.revision)
+		}
+	}
+	return revision
+}
+
+// handled finds the least and the newest version that handle a request as it was.
+func (r *rules) handled(test func(v *version) (yes bool)) (least, newest *version, flawed bool) {
+	for _, v := range r.versions {
+		if !test(v) {
+			continue
+		}
+		if v.refused {
+			flawed = true
+			continue
+		}
+		if least == nil || v.revision < least.revision {
+			least = v
+		}
+		if newest == nil || v.revision > newest.revision {
+			newest = v
+		}
+	}
+	return least, newest, flawed
+}
+
+func (r *rules) config(i *Instance, q *request) {
+	c := q.try
+	most := 0
+	least, newest, flawed := r.handled(func(v *version) bool {
+		rt := v.allows(c.path, i.offer.Name)
+		if rt != nil && !v.refused {
+			most = max(most, rt.Attempts)
+		}
+		return rt != nil
+	})
+	if newest == nil {
+		what := RuleRoute
+		if flawed {
+			what = RuleTaken
+		}
+		r.breach(what, c.path, "%s at %s from %s", c.id, i.offer.Name, q.n.Name)
+		return
+	}
+	if c.passes > most {
+		r.breach(RuleTries, c.id, "%d, at most %d", c.passes, most)
+	}
+	bound, must := r.within(q.n, q, applyWithin)
+	r.obeyed(q.n, c, least, newest, bound, must)
+}
+
+// obeyed compares the versions that explain how a node handled a try with what it must obey and with what it obeyed before.
+func (r *rules) obeyed(n *Node, c *try, least, newest *version, bound time.Duration, must bool) {
+	if due := r.due(c.sent, bound); must && newest.revision < due {
+		r.breach(RuleConfig, c.path, "%s by %s as in revision %d, %d is due", c.id, n.Name, newest.revision, due)
+	}
+	slack := backSlack
+	if !r.still(n.Name, c.sent, r.s.w.now) {
+		slack *= 8
+	}
+	f := r.floors[n.life]
+	if newest.revision < f.revision && c.sent > f.at+slack {
+		r.breach(RuleBack, c.path, "%s by %s as in revision %d, after %d", c.id, n.Name, newest.revision, f.revision)
+	}
+	if least.revision > f.revision {
+		r.floors[n.life] = floor{revision: least.revision, at: r.s.w.now}
+	}
+}
+
+// unknown judges a node's word that there is no such route.
+func (r *rules) unknown(c *try, n *Node) {
+	least, newest, _ := r.handled(func(v *version) bool { return v.route(c.path) == nil })
+	q := &request{n: n, sent: r.s.w.now, calm: r.inTouch(n, r.s.w.now)}
+	bound, must := r.within(n, q, applyWithin)
+	if newest == nil {
+		if must && r.due(c.sent, bound) > 0 {
+			r.breach(RuleDenied, c.path, "%s by %s, every version has the route", c.id, n.Name)
+		}
+		return
+	}
+	r.obeyed(n, c, least, newest, bound, must)
+}
+
+func (r *rules) newest() (v *version) {
+	for _, o := range r.versions {
+		if o.acked > 0 && (v == nil || o.revision > v.revision) {
+			v = o
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/stage/run.go
@@ -0,0 +1,24 @@
+package stage
+
+import "time"
+
+func Run(s Scenario) (w *World) {
+	w = New(s)
+	w.Boot()
+	if s.Tune != nil {
+		s.Tune(w)
+	}
+	for _, f := range s.Faults {
+		w.at(f.At, func() { w.Break(f) })
+	}
+	if w.site != nil {
+		w.site.traffic(s.Lasts - 3*time.Second)
+		w.run(s.Lasts)
+		w.site.finish()
+		return w
+	}
+	w.Load(max(s.From, 5*time.Second), s.Lasts-10*time.Second)
+	w.run(s.Lasts)
+	w.finish()
+	return w
+}
--- /dev/null
+++ b/stage/site.go
@@ -0,0 +1,229 @@
+package stage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+// A site is the platform around the nodes of a world: it lists replicas, hands user agents to nodes, and its operators write documents.
+type site struct {
+	w         *World
+	spec      SiteSpec
+	whim      *rand.Rand
+	load      traffic
+	at        map[string]*Instance
+	instances []*Instance
+	born      int
+	seeds     []string
+	first     bool
+	calls     []time.Duration
+	listDown  bool
+	misses    map[string]int
+	entries   map[string][]*Node
+	rules     *rules
+	ops       operators
+	report    SiteReport
+	look      TrafficClass
+}
+
+func (w *World) openSite(spec SiteSpec) {
+	s := &site{
+		w: w, spec: spec, whim: rand.New(rand.NewPCG(w.S.Seed, 67)), at: map[string]*Instance{}, misses: map[string]int{}, entries: map[string][]*Node{},
+		report: SiteReport{Whys: map[string]int{}, Outcomes: map[string]int{}},
+	}
+	w.site = s
+	s.rules = newRules(s)
+	s.ops = operators{s: s, rng: rand.New(rand.NewPCG(w.S.Seed, 71))}
+	s.look = spec.Classes[len(spec.Classes)-1]
+	s.look.Name = "look"
+	w.Net.Near, w.Net.Far, w.Net.Jitter = 200*time.Microsecond, spec.Far, 300*time.Microsecond
+	for k := range spec.Offers {
+		o := &spec.Offers[k]
+		for i := range o.Replicas {
+			s.launch(o, spec.Shape.Domains[i%len(spec.Shape.Domains)], fmt.Sprintf("10.9.%d.%d:8080", k, i), o.Pace[i%len(o.Pace)], false)
+		}
+	}
+}
+
+func (s *site) boot() {
+	w := s.w
+	s.first = true
+	for _, n := range w.Nodes[:3] {
+		s.seeds = append(s.seeds, n.Addr)
+	}
+	for _, n := range w.Nodes {
+		w.after(time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), n.start)
+	}
+	w.after(2*time.Second, func() { s.first = false })
+	w.after(600*time.Millisecond, s.ops.open)
+	s.poll()
+	w.Audit.claims()
+}
+
+// configure makes a node's settings those of the ordinary path.
+func (s *site) configure(c *crux.Config, r *mallowbridge.Config) {
+	c.Read, c.ListEvery, c.Tolerate, c.Founds, c.ServesCutOff = readDocument, time.Second, 1, s.first, true
+	c.Seeds = slices.Clone(s.seeds)
+	r.Market.Backlog, r.Market.Feed = 1024, time.Minute
+	if s.w.tune != nil {
+		s.w.tune(c, r)
+	}
+}
+
+func (s *site) stride(offer string) (n int) {
+	for i := range s.spec.Offers {
+		if s.spec.Offers[i].Name == offer {
+			return max(s.spec.Offers[i].Stride, 1)
+		}
+	}
+	return 1
+}
+
+func (s *site) alive(offer string) (is []*Instance) {
+	for _, i := range s.instances {
+		if i.up && (offer == "" || i.offer.Name == offer) && i.leaves == never {
+			is = append(is, i)
+		}
+	}
+	return is
+}
+
+// poll asks every node each second whether it is ready; two misses take it out.
+func (s *site) poll() {
+	w := s.w
+	s.entries = map[string][]*Node{}
+	for _, d := range s.spec.Shape.Domains {
+		var in, all []*Node
+		for _, n := range w.Nodes {
+			if n.Domain != d || n.removed {
+				continue
+			}
+			all = append(all, n)
+			if n.Alive && !n.frozen && !n.retire && n.router.Ready(n.local()) == "" {
+				s.misses[n.Name] = 0
+			} else {
+				s.misses[n.Name]++
+			}
+			if s.misses[n.Name] < 2 {
+				in = append(in, n)
+			}
+		}
+		if len(in) > 0 && 2*len(in) < len(all) {
+			in = all
+		}
+		s.entries[d] = in
+	}
+	w.after(time.Second, s.poll)
+}
+
+func (s *site) pick(domain string) (n *Node) {
+	ns := s.entries[domain]
+	for _, d := range s.spec.Shape.Domains {
+		if len(ns) == 0 {
+			ns = s.entries[d]
+		}
+	}
+	if len(ns) == 0 {
+		return nil
+	}
+	return ns[s.whim.IntN(len(ns))]
+}
+
+type ListError struct{ Why string }
+
+func (e *ListError) Error() (text string) { return "list: " + e.Why }
+
+const platformAddr = "platform"
+
+// list has a node read the platform's list, which runs behind and takes only so many calls a second.
+func (n *Node) list() {
+	w, s := n.w, n.w.site
+	give := func(r crux.ListRead) {
+		n.later(2*w.Net.delay(false), func() { n.step(r) })
+	}
+	s.report.Lists++
+	if s.listDown || w.Net.blocked(n.Addr, platformAddr) || w.Net.blocked(platformAddr, n.Addr) {
+		n.later(800*time.Millisecond, func() { n.step(crux.ListRead{Err: &ListError{Why: "no answer"}}) })
+		return
+	}
+	s.calls = append(s.calls, w.now)
+	for len(s.calls) > 0 && w.now-s.calls[0] >= time.Second {
+		s.calls = s.calls[1:]
+	}
+	if len(s.calls) > listRate {
+		s.report.ListRefused++
+		give(crux.ListRead{Err: &ListError{Why: "called too often"}})
+		return
+	}
+	at := w.now - listBehind
+	var r crux.ListRead
+	for _, i := range s.instances {
+		if i.listed(at) {
+			r.Rows = append(r.Rows, i.row(at))
+		}
+	}
+	give(r)
+}
+
+// turn gives the router an event and sees to it that it is woken when it needs the time.
+func (n *Node) turn(ev mallowbridge.Event) (ds []mallowbridge.Decision) {
+	ds = n.router.Step(n.local(), ev)
+	if n.w.site != nil {
+		n.arm()
+	}
+	return ds
+}
+
+func (n *Node) arm() {
+	wait := mallowbridge.Idle
+	if at, any := n.router.Next(n.local()); any {
+		wait = min(max(at-n.local(), time.Millisecond), wait)
+	}
+	at := n.w.now + wait
+	if n.wakes > n.w.now && n.wakes <= at {
+		return
+	}
+	n.wakes = at
+	n.later(wait, func() {
+		if n.w.now >= n.wakes && n.wakes > 0 {
+			n.wakes = 0
+			n.decide(n.turn(mallowbridge.Tick{}))
+		}
+	})
+}
+
+// mend writes everything anew after a failure, until the disk takes it.
+func (n *Node) mend() {
+	n.mending = true
+	n.later(500*time.Millisecond, func() {
+		if n.keeper.Mend() != nil {
+			n.mend()
+			return
+		}
+		n.mending = false
+		n.step(crux.Saved{Mended: true})
+	})
+}
+
+// halt ends what runs at a node whose process ends; without power nobody is told.
+func (n *Node) halt() {
+	for _, name := range sortedKeys(n.trips) {
+		t := n.trips[name]
+		if !n.dark {
+			t.orphan()
+		}
+	}
+	if !n.dark {
+		for _, name := range sortedKeys(n.pool) {
+			for _, k := range n.pool[name].idle {
+				k.close()
+			}
+		}
+	}
+	n.trips, n.pool, n.wakes = map[string]*trip{}, pool{}, 0
+}
--- /dev/null
+++ b/stage/sitereplicas.go
@@ -0,0 +1,97 @@
+package stage
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// sway is trouble with replicas and traffic.
+func (s *site) sway(f Fault) {
+	w := s.w
+	switch f.Kind {
+	case Burst:
+		s.load.swells = append(s.load.swells, swell{from: w.now, until: w.now + f.For, class: 1, times: 1.5}, swell{from: w.now, until: w.now + f.For, times: 1.5})
+	case HotKey:
+		s.load.swells = append(s.load.swells, swell{from: w.now, until: w.now + f.For, class: 1, times: 1, hot: 0.28})
+	case RepCrash, RepDark, RepBlink:
+		for _, i := range s.chosen(f, 2) {
+			s.crash(i, f)
+		}
+	case Release:
+		s.renew(s.chosen(f, 4))
+	case ScaleIn:
+		for _, i := range s.chosen(f, 2) {
+			i.drain()
+		}
+	case ScaleOut:
+		for k := range 3 {
+			o := &s.spec.Offers[0]
+			s.launch(o, s.spec.Shape.Domains[k%len(s.spec.Shape.Domains)], s.address(o), o.Pace[k%len(o.Pace)], true)
+		}
+	case Garble:
+		how := f.On[0]
+		for _, i := range s.chosen(Fault{}, 6) {
+			i.garble = garble{every: 25, how: how}
+			w.after(f.For, func() { i.garble = garble{} })
+		}
+	}
+}
+
+// chosen picks replicas at random, of the offer that the fault names, or of any.
+func (s *site) chosen(f Fault, n int) (is []*Instance) {
+	offer := ""
+	if len(f.On) > 0 {
+		offer = f.On[0]
+	}
+	is = s.alive(offer)
+	s.whim.Shuffle(len(is), func(i, j int) { is[i], is[j] = is[j], is[i] })
+	return is[:min(n, len(is))]
+}
+
+func (s *site) crash(i *Instance, f Fault) {
+	for _, k := range i.sockets {
+		k.harm()
+	}
+	again := func() {
+		if s.at[i.Addr] == i {
+			s.launch(i.offer, i.Domain, i.Addr, i.pace, true)
+		}
+	}
+	if f.Kind == RepDark {
+		i.dark = true
+		s.w.after(f.For, func() {
+			i.dark = false
+			i.end(true)
+			s.w.after(time.Second, again)
+		})
+		return
+	}
+	i.end(true)
+	if f.For >= 0 {
+		s.w.after(f.For, again)
+	}
+}
+
+// renew replaces replicas one after the other: the old one drains, a new one comes where there is an address.
+func (s *site) renew(is []*Instance) {
+	if len(is) == 0 {
+		return
+	}
+	old, w := is[0], s.w
+	old.drain()
+	w.after(2*time.Second, func() { s.launch(old.offer, old.Domain, s.address(old.offer), old.pace, true) })
+	w.after(time.Second, func() { s.renew(is[1:]) })
+}
+
+// address gives one that a replica, of another offer if possible, held before and that is free long enough; or a new one.
+func (s *site) address(o *OfferSpec) (addr string) {
+	free := func(i *Instance) bool {
+		return !i.up && s.at[i.Addr] == i && s.w.now-i.ends > reuseAfter && i.offer != o
+	}
+	if at := slices.IndexFunc(s.instances, free); at >= 0 {
+		return s.instances[at].Addr
+	}
+	s.born++
+	return fmt.Sprintf("10.10.0.%d:8080", s.born)
+}
--- /dev/null
+++ b/stage/sitereport.go
@@ -0,0 +1,156 @@
+package stage
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+type ClassReport struct {
+	Asked, Served, InTime int
+	Firsts                []int64
+}
+
+// SiteReport is what a day at a site came to.
+type SiteReport struct {
+	Wanted                               int
+	Classes                              map[string]*ClassReport
+	Outcomes, Whys                       map[string]int
+	GaveUp, LateEvents, Seconds, Resumed int
+	Lists, ListRefused                   int
+	Puts, PutsRefused                    int
+	Dials                                int
+	Confirmed, Predicted                 int
+	Prompted, Cached                     uint64
+	Admitted, Refused, Preempted         uint64
+	after                                time.Duration
+	asked, served                        int
+}
+
+func (r *SiteReport) take(d *mallowbridge.Decision) {
+	r.Confirmed += d.Confirmed
+	r.Predicted += d.Predicted
+}
+
+func (s *site) tallied(i *Instance) {
+	r, e := &s.report, i.eng
+	r.Prompted, r.Cached = r.Prompted+e.Prompted, r.Cached+e.Cached
+	r.Admitted, r.Refused, r.Preempted = r.Admitted+e.Admitted, r.Refused+e.Refused, r.Preempted+e.Preempted
+}
+
+func (r *SiteReport) end(q *want) {
+	if q.class.Name == "look" {
+		return
+	}
+	if r.Classes == nil {
+		r.Classes = map[string]*ClassReport{}
+	}
+	c := r.Classes[q.class.Name]
+	if c == nil {
+		c = &ClassReport{}
+		r.Classes[q.class.Name] = c
+	}
+	c.Asked++
+	late := r.after > 0 && q.at > r.after
+	if late {
+		r.asked++
+	}
+	if !q.served {
+		return
+	}
+	c.Served++
+	if late {
+		r.served++
+	}
+	c.Firsts = append(c.Firsts, (q.first - q.at).Milliseconds())
+	if q.first-q.at <= q.class.Aim && (q.class.Gap == 0 || q.gap <= q.class.Gap) {
+		c.InTime++
+	}
+}
+
+func (r *SiteReport) Served() (share float64) {
+	asked, served := 0, 0
+	for _, c := range r.Classes {
+		asked, served = asked+c.Asked, served+c.Served
+	}
+	return float64(served) / float64(max(asked, 1))
+}
+
+func (r *SiteReport) Write(out io.Writer) {
+	fmt.Fprintf(out, "%-10s %6s %6s %7s %9s %9s\n", "class", "asked", "served", "in time", "first p50", "first p95")
+	for _, name := range sortedKeys(r.Classes) {
+		c := r.Classes[name]
+		fmt.Fprintf(out, "%-10s %6d %6d %7d %7dms %7dms\n", name, c.Asked, c.Served, c.InTime, Quantile(c.Firsts, 0.5), Quantile(c.Firsts, 0.95))
+	}
+	fmt.Fprintf(out, "outcomes %v, gave up %d, events late %d\nwhy denied: %v\n", r.Outcomes, r.GaveUp, r.LateEvents, r.Whys)
+	fmt.Fprintf(out, "second attempts %d, resumed %d, connections %d, lists %d (%d refused)\n", r.Seconds, r.Resumed, r.Dials, r.Lists, r.ListRefused)
+	fmt.Fprintf(out, "documents taken %d, refused %d; replicas admitted %d, refused %d, preempted %d\n", r.Puts, r.PutsRefused, r.Admitted, r.Refused, r.Preempted)
+	fmt.Fprintf(out, "prompt parts in cache %.1f%%, counted on: confirmed %.1f%%, predicted %.1f%%\n", share(int(r.Cached), r.Prompted), share(r.Confirmed, r.Prompted), share(r.Predicted, r.Prompted))
+}
+
+func share(part int, of uint64) (percent float64) { return 100 * float64(part) / float64(max(of, 1)) }
+
+// Site reports of a world that plays one.
+func (w *World) Site() (r *SiteReport) { return &w.site.report }
+
+// finish reads back what was acknowledged and sums up.
+func (s *site) finish() {
+	for _, i := range s.instances {
+		if i.up {
+			s.tallied(i)
+		}
+	}
+	s.kept(s.w.now + touchAfter)
+	s.w.run(s.w.now + touchAfter + 3*time.Second)
+	if s.report.after > 0 && (s.report.asked == 0 || 4*s.report.served < s.report.asked) {
+		s.rules.breach(RuleRecover, "fleet", "%d of %d served", s.report.served, s.report.asked)
+	}
+	if got := s.report.Served(); got < 0.4 {
+		s.rules.breach(RuleServed, "fleet", "%.0f%%", 100*got)
+	}
+}
+
+// kept asks for the document at one node after the other until one answers.
+func (s *site) kept(until time.Duration) {
+	w := s.w
+	n := w.Nodes[s.ops.rng.IntN(len(w.Nodes))]
+	if w.now > until {
+		s.rules.breach(RuleKept, "document", "nobody gives it")
+		return
+	}
+	again := func() { w.after(200*time.Millisecond, func() { s.kept(until) }) }
+	if !n.Alive {
+		again()
+		return
+	}
+	w.Call(n, crux.Get{}, func(a crux.Answer) {
+		if a.Err != nil {
+			again()
+			return
+		}
+		s.compare(n, a)
+	})
+}
+
+func (s *site) compare(n *Node, a crux.Answer) {
+	at, _ := revisionIn(a.Value.Body)
+	newest := s.rules.newest()
+	for _, v := range s.rules.versions {
+		if v.revision == at && !v.flawed && !bytes.Equal(v.raw, a.Value.Body) {
+			s.rules.breach(RuleKept, "document", "revision %d is not what was sent", at)
+		}
+	}
+	if newest != nil && at < newest.revision {
+		s.rules.breach(RuleKept, "document", "%s gives revision %d, %d was acknowledged", n.Name, at, newest.revision)
+	}
+	for _, d := range sortedKeys(s.rules.evacs) {
+		if e := s.rules.evacs[d]; !e.lifted && !slices.Contains(a.Value.Emptied, d) {
+			s.rules.breach(RuleKept, "evacuation", "%s does not know that %s is evacuated", n.Name, d)
+		}
+	}
+}
--- /dev/null
+++ b/stage/sitetraffic.go
@@ -0,0 +1,94 @@
+package stage
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+// swell is more traffic, or traffic on one key, for a while.
+type swell struct {
+	from, until time.Duration
+	class       int
+	times       float64
+	hot         float64
+}
+
+type traffic struct {
+	s      *site
+	rng    *rand.Rand
+	swells []swell
+	n      int
+}
+
+func (s *site) traffic(until time.Duration) {
+	t := &s.load
+	t.s, t.rng = s, rand.New(rand.NewPCG(s.w.S.Seed, 61))
+	for i := range s.spec.Classes {
+		s.w.at(trafficFrom, func() { t.next(i, until) })
+	}
+}
+
+func (t *traffic) rate(class int) (r, hot float64) {
+	r = t.s.spec.Classes[class].Rate
+	for _, x := range t.swells {
+		if x.class == class && t.s.w.now >= x.from && t.s.w.now < x.until {
+			r, hot = r*x.times, max(hot, x.hot)
+		}
+	}
+	return r, hot
+}
+
+func (t *traffic) next(class int, until time.Duration) {
+	w := t.s.w
+	if w.now >= until {
+		return
+	}
+	r, hot := t.rate(class)
+	w.after(time.Duration(t.rng.ExpFloat64()/r*float64(time.Second)), func() {
+		t.want(class, hot).submit()
+		t.next(class, until)
+	})
+}
+
+// spread is a random size around a mean with a long tail.
+func (t *traffic) spread(mean int, sigma float64, most int) (n int) {
+	return min(max(int(float64(mean)*math.Exp(sigma*t.rng.NormFloat64()-sigma*sigma/2)), 1), most)
+}
+
+func (t *traffic) want(class int, hot float64) (q *want) {
+	s := t.s
+	c := &s.spec.Classes[class]
+	t.n++
+	domains := s.spec.Shape.Domains
+	q = &want{
+		s: s, id: fmt.Sprintf("q%d", t.n), class: c, path: prefixOf(c.Name) + "x", domain: domains[t.rng.IntN(len(domains))], at: s.w.now,
+		until: s.w.now + c.Deadline, events: 1, prompt: 1, work: time.Duration(t.spread(int(c.Work), 0.5, 7*int(c.Work))),
+	}
+	if c.Streaming {
+		q.events = t.spread(c.Events, 0.44, 3*c.Events)
+		q.ask(t, hot)
+	}
+	s.report.Wanted++
+	return q
+}
+
+func (q *want) ask(t *traffic, hot float64) {
+	c := q.class
+	shared := t.rng.IntN(c.Shared)
+	if t.rng.Float64() < hot {
+		shared = 0
+	}
+	system := shared % c.System
+	own := t.spread(c.Prompt, 1, 8*c.Prompt)
+	q.prefix = strings.Join([]string{
+		fmt.Sprintf("%s%d:%d", c.Name, system, c.SystemTokens), fmt.Sprintf("%s%d.%d:%d", c.Name, system, shared, c.SharedTokens),
+		fmt.Sprintf("%s:%d", q.id, own),
+	}, ",")
+	q.parts, _ = hint.Parse(Prompt, q.prefix)
+	q.prompt = c.SystemTokens + c.SharedTokens + own
+}
--- /dev/null
+++ b/stage/touch.go
@@ -0,0 +1,93 @@
+package stage
+
+import "time"
+
+// A trouble disturbs one node, or the core (node is empty), from one moment until another. Planned ones are a part of the day's work.
+type trouble struct {
+	node        string
+	from, until time.Duration
+	planned     bool
+}
+
+// harm notes trouble on machines; that of a machine with a disk unsettles the core at its begin and end, that of most of them all through.
+func (r *rules) harm(ns []*Node, d time.Duration, planned, slows bool) {
+	now := r.s.w.now
+	until := now + d
+	if d < 0 {
+		until = never
+	}
+	core, total := 0, 0
+	for _, n := range r.s.w.Nodes {
+		if n.Disk != nil && !n.removed {
+			total++
+		}
+	}
+	for _, n := range ns {
+		r.troubles = append(r.troubles, &trouble{node: n.Name, from: now, until: until, planned: planned})
+		if n.Disk != nil {
+			core++
+		}
+	}
+	switch {
+	case core == 0:
+	case 2*core >= total || slows:
+		r.troubles = append(r.troubles, &trouble{from: now, until: until, planned: planned})
+	default:
+		r.troubles = append(r.troubles, &trouble{from: now, until: now, planned: planned}, &trouble{from: until, until: until, planned: planned})
+	}
+}
+
+// still tells that nothing disturbed a node, or the core, in that time and touchAfter before.
+func (r *rules) still(node string, from, until time.Duration) (yes bool) {
+	for _, t := range r.troubles {
+		if t.node == node && t.from <= until && t.until >= from-touchAfter {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *rules) inTouch(n *Node, now time.Duration) (yes bool) {
+	return r.still(n.Name, now, now) && r.still("", now, now)
+}
+
+// within is how long after its acknowledgement a node must obey an order, and whether it must.
+func (r *rules) within(n *Node, q *request, bound time.Duration) (t time.Duration, must bool) {
+	switch {
+	case q.calm:
+		return bound, true
+	case r.still(n.Name, q.sent, q.sent) && r.majority(q.sent):
+		return bound + outerMost, true
+	}
+	return 0, false
+}
+
+// majority tells that most of the core ran and was joined for long before now.
+func (r *rules) majority(now time.Duration) (yes bool) {
+	for _, t := range r.troubles {
+		if t.node == "" && t.until > t.from && t.from <= now && t.until >= now-outerMost-touchAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// unplanned tells that something nobody planned happened anywhere in that time or touchAfter before.
+func (r *rules) unplanned(from, until time.Duration) (yes bool) {
+	for _, t := range r.troubles {
+		if !t.planned && t.from <= until && t.until >= from-touchAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// leaving tells that the node was being stopped on purpose at some time of the span, and since when.
+func (r *rules) leaving(node string, from, until time.Duration) (since time.Duration, yes bool) {
+	for _, t := range r.troubles {
+		if t.planned && t.node == node && t.from <= until && t.until >= from {
+			return t.from, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/stage/trip.go
@@ -0,0 +1,228 @@
+package stage
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/ferry"
+)
+
+// A trip takes one try through a node: it carries out the moves of ferry's exchange, one after the other, as ferry's transfer does.
+type trip struct {
+	n        *Node
+	life     uint64
+	c        *try
+	ex       ferry.Exchange
+	k        *socket
+	h        *head
+	events   ferry.Events
+	body     []byte
+	arrived  time.Duration
+	deadline time.Duration
+	mode     mode
+	turn     int
+	headed   bool
+	flowing  bool
+	queued   []mallowbridge.Decision
+}
+
+// A mode is what the trip waits for; meanwhile decisions wait, too.
+type mode uint8
+
+const (
+	free mode = iota
+	connecting
+	asking
+	draining
+	streaming
+	holding
+)
+
+const (
+	dialMost   = 400 * time.Millisecond
+	ownIdle    = 4 * time.Second
+	toldIdle   = 3800 * time.Millisecond
+	overGrace  = 250 * time.Millisecond
+	eventBytes = 1 << 20
+)
+
+func (n *Node) begin(c *try) (t *trip) {
+	s := n.w.site
+	n.tripSeq++
+	name := n.front + "-" + strconv.Itoa(n.tripSeq)
+	t = &trip{n: n, life: n.life, c: c, arrived: n.w.now, ex: ferry.Exchange{Request: name}, events: ferry.Events{Bound: eventBytes}}
+	if c.last > 0 {
+		t.events.Last = strconv.Itoa(c.last)
+	}
+	t.deadline = n.w.now + c.patience
+	n.trips[name] = t
+	q := c.want
+	a := mallowbridge.Arrive{Request: name, Host: siteHost, Path: c.path, Patience: c.patience}
+	if q.class.Streaming {
+		a.Prefix, a.Model, a.Tokens, a.Most = q.prefix, Prompt, q.prompt, q.events*s.stride(q.class.Offer)
+	}
+	n.decide(n.turn(a))
+	return t
+}
+
+func (t *trip) decided(d mallowbridge.Decision) {
+	if t.mode != free {
+		t.queued = append(t.queued, d)
+		return
+	}
+	t.do(t.ex.Decided(d))
+}
+
+// happened hands a signal in, then the decisions that came while the trip waited.
+func (t *trip) happened(sig ferry.Signal) {
+	t.mode = free
+	t.do(t.ex.Happened(sig))
+	for len(t.queued) > 0 && t.mode == free && !t.ex.Over() {
+		d := t.queued[0]
+		t.queued = t.queued[1:]
+		t.do(t.ex.Decided(d))
+	}
+}
+
+func (t *trip) do(moves []ferry.Move) {
+	var next []mallowbridge.Decision
+	for _, m := range moves {
+		switch m.Kind {
+		case ferry.Connect:
+			t.connect()
+		case ferry.Write:
+			t.write()
+		case ferry.Park:
+			t.park()
+		case ferry.Drop:
+			t.drop()
+		case ferry.Tell:
+			next = append(next, t.n.turn(m.Event)...)
+		case ferry.Drain:
+			t.mode = draining
+		case ferry.Pass:
+			t.pass()
+		case ferry.Finish:
+			t.finish(m)
+		}
+	}
+	t.n.decide(next)
+}
+
+func (t *trip) connect() {
+	d, w := t.ex.Place, t.n.w
+	t.mode = connecting
+	t.turn++
+	turn := t.turn
+	after := func(wait time.Duration, sig func() (s ferry.Signal)) {
+		t.n.later(wait, func() {
+			if t.turn == turn && t.mode == connecting {
+				t.happened(sig())
+			} else if wait > 0 {
+				t.n.pool.leave(d.Instance)
+			}
+		})
+	}
+	k, capped := t.n.pool.kept(w.now, d.Instance, t.c.id, d.Conns)
+	if capped {
+		after(0, func() ferry.Signal { return ferry.Unconnected{Capped: true} })
+		return
+	}
+	if k != nil {
+		t.use(k)
+		after(0, func() ferry.Signal { return ferry.Connected{} })
+		return
+	}
+	i := w.site.at[d.Addr]
+	failed := func() ferry.Signal {
+		t.n.pool.leave(d.Instance)
+		return ferry.Unconnected{}
+	}
+	if i == nil || i.dark || w.Net.blocked(t.n.Addr, i.addr()) || w.Net.blocked(i.addr(), t.n.Addr) {
+		wait := dialMost
+		if i == nil {
+			wait = time.Millisecond
+		}
+		after(wait, failed)
+		return
+	}
+	after(2*w.Net.delay(t.n.Domain == i.Domain)+time.Millisecond, func() ferry.Signal {
+		k := newSocket(t.n, i, d.Instance)
+		if !i.accept(k) {
+			return failed()
+		}
+		t.use(k)
+		return ferry.Connected{}
+	})
+}
+
+func (t *trip) use(k *socket) { t.k, k.t = k, t }
+
+func (t *trip) park() {
+	k := t.k
+	if t.k = nil; k == nil {
+		return
+	}
+	if k.t = nil; !k.used {
+		k.until = t.n.w.now + ownIdle
+	}
+	t.n.pool.park(k)
+}
+
+func (t *trip) drop() {
+	k := t.k
+	if t.k = nil; k == nil {
+		return
+	}
+	k.close()
+	t.n.pool.leave(k.key)
+}
+
+// took is what the connection in use brought.
+func (t *trip) took(p packet) {
+	switch {
+	case t.mode < asking:
+		t.k.stale = true
+	case p.reset || p.junk || (p.head != nil && t.mode > asking):
+		t.lost()
+	case t.mode == asking && p.head == nil:
+		t.lost()
+	case t.mode == asking:
+		t.h = p.head
+		t.happened(t.replied(p.head))
+		if t.mode > asking {
+			t.more(p)
+		}
+	default:
+		t.more(p)
+	}
+}
+
+func (t *trip) lost() {
+	t.drop()
+	t.happened(ferry.Lost{})
+}
+
+func (t *trip) replied(h *head) (s ferry.Replied) {
+	s.Status = h.status
+	if h.attempt != t.c.id {
+		s.Foreign = true
+		return s
+	}
+	s.NotRun, s.Bare, s.Instance, s.Load = h.notRun, h.seal == "", h.instance, h.load
+	s.Stream = t.ex.Place.Route != nil && t.ex.Place.Route.Streaming && h.stream && h.status == http.StatusOK
+	return s
+}
+
+func (t *trip) pass() {
+	t.mode, t.flowing = holding, false
+	if t.ex.Place.Route != nil && t.ex.Place.Route.Streaming && t.h.stream {
+		t.mode = streaming
+		if t.headed {
+			t.n.w.site.report.Resumed++
+			t.events.Resume()
+		}
+	}
+}
--- /dev/null
+++ b/stage/tripend.go
@@ -0,0 +1,109 @@
+package stage
+
+import (
+	"net/http"
+
+	"github.com/mallowbridge/mallowbridge/ferry"
+)
+
+// more takes data of an answer whose head was taken.
+func (t *trip) more(p packet) {
+	switch t.mode {
+	case draining:
+		if p.end {
+			t.settle()
+			t.happened(ferry.Ended{})
+		}
+	case holding:
+		t.body = append(t.body, p.data...)
+		if p.end {
+			t.answer(t.body)
+			t.settle()
+			t.happened(ferry.Ended{})
+		}
+	case streaming:
+		t.flow(p)
+	}
+}
+
+func (t *trip) flow(p packet) {
+	whole, err := t.events.Feed(p.data)
+	if err != nil {
+		t.lost()
+		return
+	}
+	if p.end {
+		whole = append(whole[:len(whole):len(whole)], t.events.Rest()...)
+	}
+	if len(whole) > 0 {
+		if !t.flowing {
+			t.flowing = true
+			t.ex.Stuck = t.events.Plain
+			t.do(t.ex.Happened(ferry.Begun{}))
+			t.mode = streaming
+		}
+		t.ex.Stuck = t.events.Plain
+		t.answer(whole)
+	}
+	if p.end {
+		t.answer(nil)
+		t.settle()
+		t.happened(ferry.Ended{})
+	}
+}
+
+// settle ends the use of a connection whose answer was read whole.
+func (t *trip) settle() {
+	if t.k.stale || t.h.shut {
+		t.drop()
+		return
+	}
+	t.k.until = t.n.w.now + toldIdle
+	t.park()
+}
+
+// answer passes bytes on to the user agent, the head of the first replica before them.
+func (t *trip) answer(data []byte) {
+	c := t.c
+	if !t.headed {
+		t.headed = true
+		h := *t.h
+		c.send(t.n, func() { c.heads(h) })
+	}
+	if len(data) > 0 {
+		data = append([]byte(nil), data...)
+		c.send(t.n, func() { c.reads(data) })
+	}
+}
+
+var statuses = map[ferry.Outcome]int{
+	ferry.Denied: http.StatusServiceUnavailable, ferry.NotFound: http.StatusNotFound, ferry.Unknown: http.StatusBadGateway, ferry.Expired: http.StatusGatewayTimeout,
+}
+
+func (t *trip) finish(m ferry.Move) {
+	c := t.c
+	delete(t.n.trips, t.ex.Request)
+	switch m.Outcome {
+	case ferry.Done:
+		c.send(t.n, func() { c.ended(http.StatusOK, 0) })
+	case ferry.Gone:
+	case ferry.Aborted:
+		c.send(t.n, func() { c.cut() })
+	default:
+		if m.Outcome == ferry.Denied {
+			t.n.w.site.report.Whys[m.Why]++
+		}
+		status := statuses[m.Outcome]
+		t.n.w.site.rules.finished(t, status)
+		c.send(t.n, func() { c.ended(status, m.After) })
+	}
+}
+
+// orphan is what becomes of a trip whose process ended.
+func (t *trip) orphan() {
+	if t.k != nil {
+		t.c.working = t.k.job != nil
+		t.k.close()
+	}
+	t.c.send(t.n, t.c.cut)
+}
--- /dev/null
+++ b/stage/tripsend.go
@@ -0,0 +1,48 @@
+package stage
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/ferry"
+)
+
+// expiry is when the time of the request is over.
+func (t *trip) expiry() (at time.Duration) {
+	at = t.deadline
+	if r := t.ex.Place.Route; r != nil && r.Timeout > 0 {
+		at = min(at, t.arrived+r.Timeout)
+	}
+	return at
+}
+
+func (t *trip) write() {
+	w, d, k := t.n.w, &t.ex.Place, t.k
+	at := t.expiry()
+	if at-w.now < time.Millisecond {
+		t.happened(ferry.Overdue{})
+		return
+	}
+	t.mode, t.h, t.body = asking, nil, nil
+	t.turn++
+	turn := t.turn
+	k.used, k.attempt = true, t.c.id
+	r := &request{
+		try: t.c, n: t.n, attempt: t.c.id, target: d.Instance, after: t.c.last, until: at, sent: w.now,
+		again: t.c.passes > 0, calm: w.site.rules.inTouch(t.n, w.now),
+	}
+	if d.Route != nil {
+		r.rank = d.Route.Rank
+	}
+	if d.Resumes && t.headed {
+		r.after, _ = strconv.Atoi(t.events.Last)
+	}
+	t.c.passes++
+	w.site.report.take(d)
+	k.up.send(func() { k.to.serve(k, r) })
+	t.n.later(at-w.now+overGrace, func() {
+		if t.turn == turn && t.k == k && t.mode != free {
+			t.happened(ferry.Overdue{})
+		}
+	})
+}
--- a/stage/world.go
+++ b/stage/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/mallowbridge/mallowbridge"
 	"github.com/mallowbridge/mallowbridge/crux"
 	"github.com/mallowbridge/mallowbridge/tally"
 )
@@ -26,6 +27,8 @@
 	Asks     []Ask
 	From     time.Duration
 	Tune     func(w *World)
+	// Site is the platform that the nodes run on, if any; it takes the place of Shape, Charter, Load and Model.
+	Site *SiteSpec
 }
 
 type World struct {
@@ -50,6 +53,8 @@
 	ready   map[string][]*Node
 	expect  uint64
 	lives   uint64
+	site    *site
+	tune    func(c *crux.Config, r *mallowbridge.Config)
 }
 
 const (
@@ -62,6 +67,9 @@
 const tickEvery = 50 * time.Millisecond
 
 func New(s Scenario) (w *World) {
+	if s.Site != nil {
+		s.Shape = s.Site.Shape
+	}
 	if s.Charter == nil {
 		s.Charter = s.Shape.Charter
 	}
@@ -80,6 +88,10 @@
 	for i, ns := range s.Shape.Nodes {
 		w.Nodes = append(w.Nodes, newNode(w, i, ns))
 	}
+	if s.Site != nil {
+		w.openSite(*s.Site)
+		return w
+	}
 	w.replicas()
 	return w
 }
@@ -105,6 +117,10 @@
 func (w *World) Rep(name string) (r *Rep) { return w.byRep[name] }
 
 func (w *World) Boot() {
+	if w.site != nil {
+		w.site.boot()
+		return
+	}
 	for _, n := range w.Nodes {
 		w.after(time.Duration(w.rng.Int64N(int64(300*time.Millisecond))), func() { n.start() })
 	}
@@ -215,18 +231,3 @@
 	}
 	next()
 }
-
-func Run(s Scenario) (w *World) {
-	w = New(s)
-	w.Boot()
-	if s.Tune != nil {
-		s.Tune(w)
-	}
-	for _, f := range s.Faults {
-		w.at(f.At, func() { w.Break(f) })
-	}
-	w.Load(max(s.From, 5*time.Second), s.Lasts-10*time.Second)
-	w.run(s.Lasts)
-	w.finish()
-	return w
-}
