--- /dev/null
+++ b/bid/home_test.go
@@ -0,0 +1,32 @@
+package bid
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+func TestAllDomainsAgreeOnTheHomeOfASharedPart(t *testing.T) {
+	homes := map[int]int{}
+	for own := range 40 {
+		seen := map[int]bool{}
+		for _, near := range []string{"a", "b"} {
+			m := New(Defaults("n", near))
+			o := m.AddOffer(Offer{Name: "o", Queues: true})
+			for i := range 6 {
+				m.Offers[o].Reps = append(m.Offers[o].Reps, m.AddReplica(Replica{Name: fmt.Sprint("r", i), Offer: o, Listed: true, Up: true, Near: (i%2 == 0) == (near == "a")}, 1000))
+			}
+			parts := []hint.Part{{Key: 7, Tokens: 100}, {Key: hint.Key(1000 + own), Tokens: 10}}
+			rep := m.home(&Ask{Offer: o, Parts: parts}, &m.Offers[o])
+			seen[rep] = true
+			homes[rep]++
+		}
+		if len(seen) != 1 {
+			t.Fatalf("own part %d: homes %v", own, seen)
+		}
+	}
+	if len(homes) != 1 {
+		t.Errorf("the request's own part moves its home: %v", homes)
+	}
+}
