Slopes: saved points are read again, fits as CSV, standard names of mechanisms

Cause: fits as JSON took three times the room of CSV; a change of plots needed a new run; mechanisms and the CPU had names of our own. Ruled out: PNG plots (larger than SVG at the same size).

--- a/cmd/mallowbridge/slopes.go
+++ b/cmd/mallowbridge/slopes.go
@@ -12,17 +12,21 @@
 )
 
 func slopes(app *kingpin.Application, cmds map[string]command) {
-	c := app.Command("slopes", "Run fleets of several sizes in one process and fit lines through their state, messages, bytes and processor time.")
-	dir := c.Flag("out", "Directory for points (CSV), fits (JSON) and plots (SVG).").Default("docs/capacity").String()
+	c := app.Command("slopes", "Run fleets of several sizes in one process and fit lines through their state, messages, bytes and CPU time.")
+	dir := c.Flag("out", "Directory for points and fits (CSV) and plots (SVG).").Default("docs/capacity").String()
 	sizes := c.Flag("nodes", "Sizes of the sweep called fleet.").Default("16", "24", "48", "96", "185", "370").Float64List()
-	names := c.Flag("sweep", "Sweep, instead of all: fleet, nodes, replicas, requests, changes, config, distance, prefixes, sessions, tenants, bounded, remembered.").Strings()
+	names := c.Flag("sweep", "Sweep, instead of all: fleet, nodes, replicas, requests, changes, config, distance, prefixes, sessions, tenants, evicting, remembered.").Strings()
 	cores := c.Flag("cores", "Cores to be used at once.").Default("3").Int()
+	again := c.Flag("again", "Run nothing; fit and draw the points that are in the directory.").Bool()
 	cmds["slopes"] = func(_ io.Reader, out io.Writer) error {
 		runtime.GOMAXPROCS(*cores)
 		some, err := slope.Choose(slope.Sweeps(*sizes), *names)
 		if err != nil {
 			return err
 		}
+		if *again {
+			return redraw(*dir, some)
+		}
 		fmt.Fprintf(out, "a connection's coders hold %d bytes; its first frames cost %d bytes more than later ones\n", slope.ConnBytes(), slope.Opening())
 		for _, s := range some {
 			if err = sweep(out, *dir, s); err != nil {
@@ -42,3 +46,16 @@
 		return slope.Save(dir, s, ps)
 	})
 }
+
+func redraw(dir string, some []slope.Sweep) (err error) {
+	for _, s := range some {
+		ps, err := slope.Load(dir, s)
+		if err != nil {
+			return err
+		}
+		if err = slope.Save(dir, s, ps); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/slope/clock.go
+++ b/slope/clock.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// ThreadClock is the processor time of the calling goroutine's thread, which it keeps from then on: what others on the machine
+// ThreadClock is the CPU time of the calling goroutine's thread, which it keeps from then on: what others on the machine
 // take does not count. Reading it twice costs that much itself, and so much is taken off; it
 // never goes back.
 func ThreadClock() (clock func() (t time.Duration)) {
--- a/slope/fit.go
+++ b/slope/fit.go
@@ -8,26 +8,26 @@
 
 // Fit is a straight line through the points of one measure, and the power of x that they go with.
 type Fit struct {
-	Sweep     string    `json:"sweep"`
-	Role      Role      `json:"role"`
-	Mechanism Mechanism `json:"mechanism"`
-	Measure   Measure   `json:"measure"`
+	Sweep     string
+	Role      Role
+	Mechanism Mechanism
+	Measure   Measure
 	// Of is the mean or the worst node.
-	Of     string  `json:"of"`
-	Points int     `json:"points"`
-	From   float64 `json:"from"`
-	To     float64 `json:"to"`
-	Base   float64 `json:"base"`
-	Slope  float64 `json:"slope"`
-	R2     float64 `json:"r2"`
+	Of     string
+	Points int
+	From   float64
+	To     float64
+	Base   float64
+	Slope  float64
+	R2     float64
 	// Residual is the root mean square of what the line misses, as a share of the points' mean; Worst is the most it misses.
-	Residual float64 `json:"residual"`
-	Worst    float64 `json:"worst"`
+	Residual float64
+	Worst    float64
 	// Power is the exponent of x in the best c·x^p, and PowerResidual what that misses; 0 where a point is naught.
-	Power         float64 `json:"power"`
-	Factor        float64 `json:"factor"`
-	PowerResidual float64 `json:"powerResidual"`
-	Last          float64 `json:"last"`
+	Power         float64
+	Factor        float64
+	PowerResidual float64
+	Last          float64
 }
 
 // At is the line's value at x, or the power's where that misses less than half as much.
--- a/slope/fit_test.go
+++ b/slope/fit_test.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"math"
+	"os"
+	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"testing"
 )
@@ -112,3 +115,29 @@
 		last = now
 	}
 }
+
+func TestSavedPointsAreReadAgain(t *testing.T) {
+	dir, s := t.TempDir(), Sweep{Name: "s", Axis: "x"}
+	var ps []Point
+	for _, x := range []float64{1, 2, 3} {
+		ps = append(ps, Point{Sweep: "s", X: x, Nodes: 3, Replicas: 1, Rate: 0.5, Role: Any, Mechanism: Usage, Measure: Sent, Mean: x, Worst: 2 * x})
+		ps = append(ps, Point{Sweep: "s", X: x, Nodes: 3, Replicas: 1, Rate: 0.5, Role: Any, Mechanism: All, Measure: Sent, Mean: x, Worst: 2 * x})
+	}
+	if err := Save(dir, s, ps); err != nil {
+		t.Fatal(err)
+	}
+	got, err := Load(dir, s)
+	if err != nil || !slices.Equal(got, ps) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	if _, err = os.Stat(filepath.Join(dir, "s-messages.svg")); err != nil {
+		t.Error(err)
+	}
+	if err = os.WriteFile(filepath.Join(dir, "s.csv"), []byte("sweep\na,b\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var bad *RowError
+	if _, err = Load(dir, s); !errors.As(err, &bad) {
+		t.Errorf("got %v", err)
+	}
+}
--- a/slope/plot.go
+++ b/slope/plot.go
@@ -20,7 +20,7 @@
 	measure Measure
 	name    string
 }{
-	{BytesSent, "bytes"}, {Sent, "messages"}, {CPU, "processor"}, {StateBytes, "state"}, {AcrossRegions, "regions"},
+	{BytesSent, "bytes"}, {Sent, "messages"}, {CPU, "cpu"}, {StateBytes, "state"}, {AcrossRegions, "regions"},
 }
 
 // Draw writes a picture of each measure of a sweep: the mean node by mechanism, the worst node's sum, and their lines.
--- a/slope/point.go
+++ b/slope/point.go
@@ -34,7 +34,7 @@
 	BytesReceived Measure = "bytes received a second"
 	AcrossZones   Measure = "bytes sent to other zones a second"
 	AcrossRegions Measure = "bytes sent to the other region a second"
-	CPU           Measure = "processor, microseconds a second"
+	CPU           Measure = "CPU, microseconds a second"
 	Frames        Measure = "of it frames, microseconds a second"
 	Asks          Measure = "replicas asked a second"
 	Writes        Measure = "entries synced a second"
@@ -46,16 +46,16 @@
 
 // Point is one measure of one mechanism at one x of a sweep: the mean node's and the worst node's.
 type Point struct {
-	Sweep     string    `json:"sweep"`
-	X         float64   `json:"x"`
-	Nodes     int       `json:"nodes"`
-	Replicas  int       `json:"replicas"`
-	Rate      float64   `json:"rate"`
-	Role      Role      `json:"role"`
-	Mechanism Mechanism `json:"mechanism"`
-	Measure   Measure   `json:"measure"`
-	Mean      float64   `json:"mean"`
-	Worst     float64   `json:"worst"`
+	Sweep     string
+	X         float64
+	Nodes     int
+	Replicas  int
+	Rate      float64
+	Role      Role
+	Mechanism Mechanism
+	Measure   Measure
+	Mean      float64
+	Worst     float64
 }
 
 func (c Cost) reads(lasts time.Duration) (vs map[Measure]float64) {
--- a/slope/solo.go
+++ b/slope/solo.go
@@ -28,12 +28,12 @@
 
 func tenants(i int) (prefix string) { return fmt.Sprintf("tenant%d/256,task/512", i) }
 
-func bounded(i int) (prefix string) { return sessions(i) }
+func evicting(i int) (prefix string) { return sessions(i) }
 
 // solo takes x requests, each with a prefix of its own, one after another through one router.
 func solo(name, axis string, of headers) (s Sweep) {
 	keep := unbounded
-	if name == "bounded" {
+	if name == "evicting" {
 		keep = 65536
 	}
 	return Sweep{Name: name, Axis: axis, Xs: []float64{1000, 3000, 10000, 30000, 100000}, run: func(clock func() (t time.Duration), x float64) (ps []Point, note string) {
@@ -45,7 +45,7 @@
 		each := l.costs.Of(l.node, Requests).Step / time.Duration(max(l.done, 1))
 		l.costs.Reset()
 		l.costs.of(l.node, Requests).Step = each
-		return r.Points(name, x), fmt.Sprintf("%d of %d requests done, %s of processor each", l.done, int(x), each)
+		return r.Points(name, x), fmt.Sprintf("%d of %d requests done, %s of CPU each", l.done, int(x), each)
 	}}
 }
 
@@ -118,6 +118,6 @@
 		c := costs.of(n, Witnesses)
 		c.Step /= time.Duration(x)
 		r := Result{Plan: Plan{Nodes: 1, Rate: x / 600, Lasts: time.Second}, Costs: costs, Nodes: []*stage.HollowNode{n}}
-		return r.Points("remembered", x), fmt.Sprintf("%s of processor for each", c.Step)
+		return r.Points("remembered", x), fmt.Sprintf("%s of CPU for each", c.Step)
 	}}
 }
--- a/slope/sweep.go
+++ b/slope/sweep.go
@@ -56,7 +56,7 @@
 		solo("prefixes", "shared prefixes seen", prefixes),
 		solo("sessions", "sessions seen, over 100 shared prefixes", sessions),
 		solo("tenants", "tenants seen", tenants),
-		solo("bounded", "sessions seen, keepTokens 65536 a replica", bounded),
+		solo("evicting", "sessions seen, keepTokens 65536 a replica", evicting),
 		remembered(),
 	}
 }
--- a/slope/write.go
+++ b/slope/write.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/csv"
-	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -10,40 +10,103 @@
 	"github.com/gravitational/trace"
 )
 
-// Save writes a sweep's points as CSV, its fits as JSON and its plots as SVG.
+var pointColumns = []string{"sweep", "x", "nodes", "replicas", "rate", "role", "mechanism", "measure", "mean", "worst"}
+
+var fitColumns = []string{
+	"sweep", "role", "mechanism", "measure", "of", "points", "from", "to", "base", "slope", "r2", "residual", "worst", "power", "factor", "powerResidual", "last",
+}
+
+// RowError is a line of a table of points that cannot be read.
+type RowError struct {
+	File, Why string
+	Row       int
+}
+
+func (e *RowError) Error() (text string) { return fmt.Sprintf("%s: row %d: %s", e.File, e.Row, e.Why) }
+
+// Save writes a sweep's points and fits as CSV and its plots as SVG.
 func Save(dir string, s Sweep, ps []Point) (err error) {
 	if err = os.MkdirAll(dir, 0o755); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	if err = writePoints(filepath.Join(dir, s.Name+".csv"), ps); err != nil {
+	if err = write(filepath.Join(dir, s.Name+".csv"), pointRows(ps)); err != nil {
 		return err
 	}
 	fs := Fits(ps)
-	raw, err := json.MarshalIndent(fs, "", " ")
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	if err = os.WriteFile(filepath.Join(dir, s.Name+"-fits.json"), append(raw, '\n'), 0o644); err != nil {
-		return trace.ConvertSystemError(err)
+	if err = write(filepath.Join(dir, s.Name+"-fits.csv"), fitRows(fs)); err != nil {
+		return err
 	}
 	return Draw(dir, s, ps, fs)
 }
 
-func writePoints(file string, ps []Point) (err error) {
+func num(v float64) (text string) { return strconv.FormatFloat(v, 'g', 6, 64) }
+
+func pointRows(ps []Point) (rows [][]string) {
+	rows = append(rows, pointColumns)
+	for _, p := range ps {
+		rows = append(rows, []string{
+			p.Sweep, num(p.X), strconv.Itoa(p.Nodes), strconv.Itoa(p.Replicas), num(p.Rate), string(p.Role), string(p.Mechanism), string(p.Measure),
+			num(p.Mean), num(p.Worst),
+		})
+	}
+	return rows
+}
+
+func fitRows(fs []Fit) (rows [][]string) {
+	rows = append(rows, fitColumns)
+	for _, f := range fs {
+		row := []string{f.Sweep, string(f.Role), string(f.Mechanism), string(f.Measure), f.Of, strconv.Itoa(f.Points)}
+		for _, v := range []float64{f.From, f.To, f.Base, f.Slope, f.R2, f.Residual, f.Worst, f.Power, f.Factor, f.PowerResidual, f.Last} {
+			row = append(row, num(v))
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+func write(file string, rows [][]string) (err error) {
 	out, err := os.Create(file)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
 	defer out.Close()
-	w := csv.NewWriter(out)
-	_ = w.Write([]string{"sweep", "x", "nodes", "replicas", "rate", "role", "mechanism", "measure", "mean", "worst"})
-	num := func(v float64) (text string) { return strconv.FormatFloat(v, 'g', 6, 64) }
-	for _, p := range ps {
-		_ = w.Write([]string{
-			p.Sweep, num(p.X), strconv.Itoa(p.Nodes), strconv.Itoa(p.Replicas), num(p.Rate), string(p.Role), string(p.Mechanism), string(p.Measure),
-			num(p.Mean), num(p.Worst),
-		})
+	return trace.ConvertSystemError(csv.NewWriter(out).WriteAll(rows))
+}
+
+// Load reads the points of a sweep that were saved.
+func Load(dir string, s Sweep) (ps []Point, err error) {
+	file := filepath.Join(dir, s.Name+".csv")
+	in, err := os.Open(file)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer in.Close()
+	rows, err := csv.NewReader(in).ReadAll()
+	if err != nil {
+		return nil, trace.Wrap(&RowError{File: file, Why: err.Error()})
+	}
+	for i, row := range rows[min(1, len(rows)):] {
+		p, err := point(row)
+		if err != nil {
+			return nil, trace.Wrap(&RowError{File: file, Row: i + 2, Why: err.Error()})
+		}
+		ps = append(ps, p)
+	}
+	return ps, nil
+}
+
+func point(row []string) (p Point, err error) {
+	if len(row) != len(pointColumns) {
+		return p, &RowError{Why: fmt.Sprintf("%d columns, want %d", len(row), len(pointColumns))}
+	}
+	var vs [10]float64
+	for _, i := range []int{1, 2, 3, 4, 8, 9} {
+		if vs[i], err = strconv.ParseFloat(row[i], 64); err != nil {
+			return p, err
+		}
 	}
-	w.Flush()
-	return trace.ConvertSystemError(w.Error())
+	return Point{
+		Sweep: row[0], X: vs[1], Nodes: int(vs[2]), Replicas: int(vs[3]), Rate: vs[4], Role: Role(row[5]), Mechanism: Mechanism(row[6]),
+		Measure: Measure(row[7]), Mean: vs[8], Worst: vs[9],
+	}, nil
 }
