--- a/crux/join_test.go
+++ b/crux/join_test.go
@@ -97,3 +97,28 @@
 		t.Errorf("after 6 s without a tick: %q", why)
 	}
 }
+
+// A node that wakes hears messages before its first tick finds out that it was frozen; it must not say that it serves.
+func TestNoServingIsToldBetweenWakingAndTheFirstTick(t *testing.T) {
+	l := newLone()
+	l.tell("a2", 1)
+	l.tell("a4", 1)
+	l.run(10 * time.Second)
+	var last kin.Ping
+	for last.Seq == 0 {
+		for _, s := range l.step(Tick{}).Sends {
+			if p, ok := s.Msg.(kin.Ping); ok {
+				last = p
+			}
+		}
+		l.now += 50 * time.Millisecond
+	}
+	l.now += 6 * time.Second
+	for _, seq := range []uint64{0, last.Seq} {
+		for _, ev := range l.step(Recv{From: "a2", Msg: kin.Ack{Seq: seq}}).Events {
+			if f, ok := ev.(mallowbridge.Feed); ok && f.Why == "" {
+				t.Fatal("serves by what it knew before it was frozen")
+			}
+		}
+	}
+}
--- a/crux/node.go
+++ b/crux/node.go
@@ -133,7 +133,7 @@
 		n.tick(now)
 	}
 	n.flush(now)
-	if n.fedAt > 0 && n.hindrance(now) != n.why {
+	if n.fedAt > 0 && now-n.fedAt <= n.cfg.Kin.Gap && n.hindrance(now) != n.why {
 		n.tell(now)
 	}
 	return out
