Nodes tell each other of prompts with 4,000 tokens or more to read

Cause: a node sees a replica's told load about once in 1.5 s, while a long prompt delays others for up to a second: what other nodes sent was not known in time. Ruled out: told load alone (too old). Change: at placement the desk hands long prompts to the control owner, which sends them to each live member at once, several in one message; never waited for, dropped where an owner is busy.

--- a/bid/prefill.go
+++ b/bid/prefill.go
@@ -144,3 +144,17 @@
 		o.pace = float64(o.PerToken)
 	}
 }
+
+// telling is how many unread tokens other routers should know of; 0: none.
+func (m *Market) telling(a *Ask) (tokens int) {
+	tokens = int(m.unread(a, a.Conf, a.Pred))
+	if m.cfg.Told == 0 || !m.Offers[a.Offer].Batches || tokens < m.cfg.Told {
+		return 0
+	}
+	return tokens
+}
+
+// Elsewhere takes in that another router sent a replica a prompt.
+func (m *Market) Elsewhere(now time.Duration, rep int, tokens float64) {
+	m.Reps[rep].prefills.add(now, m.pace(rep), prefill{tokens: work(tokens), rank: rank(tokens)})
+}
--- a/bid/prefill_test.go
+++ b/bid/prefill_test.go
@@ -124,3 +124,20 @@
 		t.Errorf("placed at %d and %d", p.Rep, q.Rep)
 	}
 }
+
+func TestPromptsFromOtherRoutersCount(t *testing.T) {
+	m := batching(t)
+	m.Elsewhere(now, 0, 40000)
+	for _, tokens := range []int{1000, 6000} {
+		_, p := prompt(t, m, now, Ask{Tail: tokens})
+		if p.Rep != 1 {
+			t.Errorf("%d tokens behind another router's long prompt", tokens)
+		}
+		if told := p.Unread > 0; told != (tokens > 4000) {
+			t.Errorf("%d tokens, others are told %d", tokens, p.Unread)
+		}
+	}
+	if _, p := prompt(t, queueing(8, stream), now, Ask{Tail: 9000}); p.Unread != 0 {
+		t.Error("told where replicas do not batch")
+	}
+}
--- a/crux/node.go
+++ b/crux/node.go
@@ -129,6 +129,8 @@
 		n.listRead(now, i)
 	case Command:
 		n.command(now, i)
+	case Prefills:
+		n.tellPrefills(i)
 	case Tick:
 		n.tick(now)
 	}
@@ -212,6 +214,8 @@
 		n.rumorSends(n.Rumor.OnTell(now, r.From, m))
 	case rumor.Want:
 		n.rumorSends(n.Rumor.OnWant(r.From, m))
+	case Prefills:
+		n.onPrefills(m)
 	case WitnessAsk:
 		n.send(r.From, n.witness.see(now, m))
 	case WitnessForget:
--- /dev/null
+++ b/crux/prefill.go
@@ -0,0 +1,22 @@
+package crux
+
+import "github.com/mallowbridge/mallowbridge"
+
+// Prefills tells other nodes of long prompts that replicas were sent.
+type Prefills struct{ Rows []mallowbridge.Prefill }
+
+func (Prefills) Since() (build uint32) { return 2 }
+
+func (Prefills) in() {}
+
+func (n *Node) tellPrefills(p Prefills) {
+	for _, peer := range n.peers() {
+		n.send(peer.Addr, p)
+	}
+}
+
+func (n *Node) onPrefills(p Prefills) {
+	for _, row := range p.Rows {
+		n.event(row)
+	}
+}
--- /dev/null
+++ b/crux/prefill_test.go
@@ -0,0 +1,35 @@
+package crux
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+)
+
+func TestLongPromptsAreToldToEachLiveMemberAndNotPassedOn(t *testing.T) {
+	l := newLab(t, 6)
+	l.run(5 * time.Second)
+	row := mallowbridge.Prefill{Replica: "i1", Tokens: 9000}
+	out := l.nodes["n4"].Step(l.now, Prefills{Rows: []mallowbridge.Prefill{row}})
+	var to []string
+	for _, s := range out.Sends {
+		if _, is := s.Msg.(Prefills); is {
+			to = append(to, s.To)
+		}
+	}
+	slices.Sort(to)
+	if !slices.Equal(to, []string{"n0", "n1", "n2", "n3", "n5"}) {
+		t.Errorf("told %v", to)
+	}
+	out = l.nodes["n5"].Step(l.now, Recv{From: "n4", Msg: Prefills{Rows: []mallowbridge.Prefill{row}}})
+	if len(out.Events) != 1 || out.Events[0] != row {
+		t.Errorf("%+v", out.Events)
+	}
+	for _, s := range out.Sends {
+		if _, is := s.Msg.(Prefills); is {
+			t.Error("passed on")
+		}
+	}
+}
--- a/desk.go
+++ b/desk.go
@@ -21,6 +21,8 @@
 	r     *Router
 	subs  map[string]chan Decision
 	every time.Duration
+	// announce is told of prompts that other routers should know of; it must not wait.
+	announce func(p Prefill)
 }
 
 // Idle is how long a desk sleeps at most.
@@ -94,6 +96,9 @@
 
 func (d *Desk) deal(ds []Decision) {
 	for _, x := range ds {
+		if x.Unread > 0 && d.announce != nil {
+			d.announce(Prefill{Replica: x.Replica, Tokens: x.Unread})
+		}
 		sub := d.subs[x.Request]
 		if sub == nil {
 			continue
@@ -121,6 +126,19 @@
 	}
 }
 
+// OnPrefill has tell called for each prompt that other routers should know of; it must not wait.
+func (d *Desk) OnPrefill(tell func(p Prefill)) {
+	d.Look(func(*Router) { d.announce = tell })
+}
+
+// Hint gives an event that is worth nothing later: a desk that is busy doesn't get it.
+func (d *Desk) Hint(ev Event) {
+	select {
+	case d.in <- ask{ev: ev}:
+	default:
+	}
+}
+
 func (d *Desk) Tell(ev Event) { d.put(ask{ev: ev}) }
 
 const subRoom = 64
--- a/desk_test.go
+++ b/desk_test.go
@@ -55,3 +55,32 @@
 		t.Error(err)
 	}
 }
+
+func TestOthersAreToldOfLongPromptsAndHeardOfTheirs(t *testing.T) {
+	r, tb := routed(routes(1, route("k", "/", all("a"))), row("i1", "a"), row("i2", "a")), &tomb.Tomb{}
+	d := mallowbridge.NewDesk(tb, r, func() time.Duration { return settled }, time.Hour)
+	told := make(chan mallowbridge.Prefill, 8)
+	d.OnPrefill(func(p mallowbridge.Prefill) { told <- p })
+	ask := func(id string, tokens int) (replica string) {
+		return (<-d.Submit(mallowbridge.Arrive{Request: id, Host: "h.example", Path: "/x", Tokens: tokens})).Replica
+	}
+	ask("short", 100)
+	first := ask("long", 20000)
+	d.Look(func(*mallowbridge.Router) {})
+	if len(told) != 1 {
+		t.Fatalf("told of %d prompts", len(told))
+	}
+	if p := <-told; p.Replica != first || p.Tokens != 20000 {
+		t.Errorf("told %+v of a prompt at %s", p, first)
+	}
+	other := map[string]string{"i1": "i2", "i2": "i1"}[first]
+	d.Hint(mallowbridge.Prefill{Replica: other, Tokens: 60000})
+	d.Hint(mallowbridge.Prefill{Replica: "unknown", Tokens: 60000})
+	if at := ask("after", 15000); at != first {
+		t.Errorf("placed at %s, where another router has sent a long prompt", at)
+	}
+	tb.Kill(nil)
+	if err := tb.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/events.go
+++ b/events.go
@@ -64,6 +64,12 @@
 	Replica string
 }
 
+// Prefill says that another router sent a replica a prompt with so many tokens to read.
+type Prefill struct {
+	Replica string
+	Tokens  int
+}
+
 type Usage struct {
 	Replica    string        `json:"replica"`
 	InstanceID string        `json:"instanceId"`
@@ -150,6 +156,7 @@
 func (Tick) event()      {}
 func (Roster) event()    {}
 func (Load) event()      {}
+func (Prefill) event()   {}
 func (Misplaced) event() {}
 
 type Verdict string
@@ -187,6 +194,8 @@
 	Instance string `json:"instance,omitempty"`
 	// Route is the route taken, nil for a request to /v1/offers. It is immutable.
 	Route *charter.Route `json:"-"`
+	// Unread is how many tokens the replica is expected to read, where it batches and other routers should know.
+	Unread int `json:"unread,omitempty"`
 	// Rank tells the replica how urgent the request is, 0 first.
 	Rank int `json:"rank,omitempty"`
 	// Conns is the most connections that this node may keep to the replica; 0: no bound.
--- a/hearth/hearth.go
+++ b/hearth/hearth.go
@@ -45,6 +45,8 @@
 	boot   string
 	Front  string
 	see    func(p *charter.Picture)
+
+	prefills chan mallowbridge.Prefill
 }
 
 type call struct {
@@ -74,6 +76,7 @@
 	h = &Hearth{
 		S: s, T: t, Log: lg, in: make(chan crux.In, 1024), calls: make(chan call, 64), writes: make(chan []crux.Write, crux.MaxHeld),
 		joins: make(chan *follower), leaves: make(chan *follower), pics: make(chan *charter.Picture, 1), looks: make(chan string, 64), boot: boot,
+		prefills: make(chan mallowbridge.Prefill, prefillQueue),
 	}
 	h.Front = s.Name + "." + h.boot
 	cfg := crux.Config{
@@ -101,6 +104,7 @@
 		rc.Market.Feed = cutOffFeed
 	}
 	h.Desk = mallowbridge.NewDesk(t, mallowbridge.New(rc), Clock, deskTicks)
+	h.Desk.OnPrefill(h.placed)
 	h.valve = newValve(t, h.Desk.Tell)
 	h.node = crux.New(Clock(), cfg)
 	self := wire.Hello{Build: wire.Build, Name: s.Name, Addr: s.Listen, Role: s.Role}
@@ -138,6 +142,8 @@
 		case m := <-h.Net.In:
 			in = crux.Recv{From: m.Hello.Addr, Msg: m.Msg}
 		case in = <-h.in:
+		case p := <-h.prefills:
+			in = h.gather(p)
 		case f := <-h.joins:
 			in = fs.join(f, h.node)
 		case f := <-h.leaves:
@@ -171,6 +177,10 @@
 		h.Net.Send(s.To, s.Msg)
 	}
 	for _, ev := range out.Events {
+		if p, is := ev.(mallowbridge.Prefill); is {
+			h.Desk.Hint(p)
+			continue
+		}
 		h.tell(ev)
 		fs.tell(ev)
 		if o, ok := ev.(mallowbridge.Order); ok {
--- a/render.go
+++ b/render.go
@@ -41,6 +41,7 @@
 	}
 	s := &r.seats[a.Rep]
 	d.Route, d.Resumes, d.Rank = r.names[a.Ask].route, a.Resumes, a.Rank
+	d.Unread = a.Unread
 	if d.Rank < 0 && d.Route != nil {
 		d.Rank = d.Route.Rank
 	}
--- a/router.go
+++ b/router.go
@@ -126,6 +126,10 @@
 		if id, ok := r.reps[e.Replica]; ok {
 			r.m.Told(now, id, e.Running+e.Waiting)
 		}
+	case Prefill:
+		if id, ok := r.reps[e.Replica]; ok && e.Tokens > 0 {
+			r.m.Elsewhere(now, id, float64(e.Tokens))
+		}
 	case Misplaced:
 		if id, ok := r.reps[e.Replica]; ok {
 			r.m.Reps[id].Up = false
