Dial peers for 200 ms at a time, again after 50

Ruled out: sending on the peer's own connection (frames of one connection have one writer). Change: dialFor 500 -> 200 ms, redialMin 100 -> 50 ms; ways between zones and regions of the deployments are 0.5 to 20 ms.

--- a/wire/net.go
+++ b/wire/net.go
@@ -11,9 +11,9 @@
 
 const (
 	queued     = 512
-	dialFor    = 500 * time.Millisecond
+	dialFor    = 200 * time.Millisecond
 	writeFor   = 2 * time.Second
-	redialMin  = 100 * time.Millisecond
+	redialMin  = 50 * time.Millisecond
 	idleLimit  = 30 * time.Second
 	maxInbound = 1024
 )
