--- a/slope/mechanism.go
+++ b/slope/mechanism.go
@@ -32,6 +32,7 @@
 	Division   Mechanism = "capacity shares"
 	RouterTick Mechanism = "router tick"
 	Requests   Mechanism = "requests"
+	Prefills   Mechanism = "prefill broadcast"
 	Index      Mechanism = "prefix index"
 	Conns      Mechanism = "connections"
 	Other      Mechanism = "other"
@@ -39,7 +40,7 @@
 
 // Control tells whether a mechanism runs without requests and so counts against the budget for control.
 func (m Mechanism) Control() (yes bool) {
-	return m != Requests && m != Index && m != Witnesses
+	return m != Requests && m != Index && m != Witnesses && m != Prefills
 }
 
 func ofMessage(msg any) (m Mechanism) {
@@ -58,6 +59,8 @@
 		return Claims
 	case crux.WitnessAsk, crux.WitnessSay, crux.WitnessForget:
 		return Witnesses
+	case crux.Prefills:
+		return Prefills
 	}
 	return Other
 }
@@ -116,6 +119,8 @@
 		return Register
 	case crux.Probed, crux.Sighted:
 		return Probes
+	case crux.Prefills, mallowbridge.Prefill:
+		return Prefills
 	case crux.ListRead, mallowbridge.Listing, mallowbridge.Roster:
 		return Listings
 	case crux.Command:
