--- a/stage/client.go
+++ b/stage/client.go
@@ -95,11 +95,12 @@
 			return
 		}
 		n.live(func() {
-			if c.over {
-				return
-			}
-			c.read, c.took = true, w.now
-			c.t = n.begin(c)
+			n.enter(func() {
+				if !c.over {
+					c.read, c.took = true, w.now
+					c.t = n.begin(c)
+				}
+			})
 		})
 	})
 	w.after(min(time.Second, c.patience/3), func() {
--- a/stage/days.go
+++ b/stage/days.go
@@ -104,6 +104,11 @@
 		{Name: "answers are junk", Faults: garble("junk")},
 		{Name: "answers are lost by reset", Faults: garble("reset")},
 		{Name: "answers never come", Faults: garble("silent")},
-		{Name: "list is down", Least: 0.95, Faults: fixedDay(one(ListDown, 14*sec, 4*sec))},
+		{Name: "replicas break every answer", Faults: func(s SiteSpec, _ *rand.Rand) []Fault {
+			return []Fault{one(Garble, 13*sec, 7*sec, "reset", "all"), one(Burst, 13*sec, 7*sec, s.Classes[2].Name)}
+		}},
+		{Name: "list is down in a release", Least: 0.9, Faults: func(s SiteSpec, _ *rand.Rand) []Fault {
+			return []Fault{one(Release, 11*sec, 0, s.Offers[1].Name), one(ListDown, 13*sec, 7*sec), one(ScaleOut, 19600*ms, 0)}
+		}},
 	}
 }
--- a/stage/gate.go
+++ b/stage/gate.go
@@ -114,6 +114,9 @@
 
 func (n *Node) decide(ds []mallowbridge.Decision) {
 	for _, d := range ds {
+		if d.Unread > 0 && n.w.site != nil {
+			n.step(crux.Prefills{Rows: []mallowbridge.Prefill{{Replica: d.Replica, Tokens: d.Unread}}})
+		}
 		if f := n.asks[d.Request]; f != nil {
 			f.do(f.passage.Decided(d))
 		}
--- a/stage/guesses.go
+++ b/stage/guesses.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/mallowbridge/mallowbridge"
 	"github.com/mallowbridge/mallowbridge/hint"
 )
 
@@ -31,10 +32,14 @@
 
 // placed compares what a placement counted on with what its node can have seen: its own commits and their answers.
 func (a *Audit) placed(f *flight, c *conn) {
-	sure, all, certain := 0, 0, true
 	keys, tokens := c.keys()
+	a.counted(f.n, f.ask.Request, c.place, keys, tokens, func(key guessKey) bool { return a.proof(f.n, c.keeper(), key) })
+}
+
+func (a *Audit) counted(n *Node, who string, place mallowbridge.Decision, keys []guessKey, tokens []int, proved func(key guessKey) (yes bool)) {
+	sure, all, certain := 0, 0, true
 	for i, key := range keys {
-		proof := a.proof(f.n, c.keeper(), key)
+		proof := proved(key)
 		if !proof && a.w.now >= a.guesses[key] {
 			break
 		}
@@ -44,19 +49,39 @@
 			sure += tokens[i]
 		}
 	}
-	counted := c.place.Confirmed + c.place.Predicted
-	if c.place.Confirmed > sure {
-		a.breach(Unproved, f.ask.Request, fmt.Sprintf("%s counted on %d of %d tokens at %s", f.n.Name, c.place.Confirmed, sure, c.keeper().Name))
+	if place.Confirmed > sure {
+		a.breach(Unproved, who, fmt.Sprintf("%s counted on %d of %d tokens at %s", n.Name, place.Confirmed, sure, place.Replica))
 	}
-	if counted > all {
-		a.breach(StaleGuess, f.ask.Request, fmt.Sprintf("%s counted on %d of %d tokens at %s", f.n.Name, counted, all, c.keeper().Name))
+	if counted := place.Confirmed + place.Predicted; counted > all {
+		a.breach(StaleGuess, who, fmt.Sprintf("%s counted on %d of %d tokens at %s", n.Name, counted, all, place.Replica))
 	}
-	_, t := f.n.router.Hints()
+	_, t := n.router.Hints()
 	for _, key := range keys {
 		a.guesses[key] = max(a.guesses[key], a.w.now+min(t, guessMost))
 	}
 }
 
+// guessed does the same for a trip, whose replica is one life.
+func (t *trip) guessed() {
+	a := t.n.w.Audit
+	keys, tokens := t.keys()
+	a.counted(t.n, t.c.id, t.ex.Place, keys, tokens, func(key guessKey) bool { return a.proofs[key] })
+}
+
+func (t *trip) keys() (keys []guessKey, tokens []int) {
+	for _, p := range t.c.want.parts {
+		keys, tokens = append(keys, guessKey{front: t.n.front, rep: t.ex.Place.Replica, part: p.Key}), append(tokens, p.Tokens)
+	}
+	return keys, tokens
+}
+
+func (t *trip) confirmed() {
+	keys, _ := t.keys()
+	for _, key := range keys {
+		t.n.w.Audit.proofs[key] = true
+	}
+}
+
 func (a *Audit) proof(n *Node, r *Rep, key guessKey) (yes bool) {
 	key.instance = r.m.Instance
 	if a.proofs[key] {
--- a/stage/instance.go
+++ b/stage/instance.go
@@ -134,6 +134,7 @@
 	if r.target != "" && r.target != i.ID {
 		h := i.head(r, http.StatusMisdirectedRequest)
 		h.notRun = true
+		i.s.report.Misplaced++
 		k.reply(packet{head: h, end: true})
 		return
 	}
--- a/stage/node.go
+++ b/stage/node.go
@@ -45,6 +45,8 @@
 	wakes   time.Duration
 	dark    bool
 	mending bool
+	open    bool
+	door    []func()
 	removed bool
 }
 
@@ -90,6 +92,7 @@
 		Name: n.Name, Addr: n.Addr, Domain: n.Domain, Seeds: n.seeds(), Boot: boot, Inc: crux.Inc(time.UnixMilli(int64(n.unixMs())), w.whim.Uint64()), Seed: w.S.Seed<<16 + n.life,
 		Kin: kin.Defaults(), Rumor: rumor.Defaults(), Build: n.build,
 	}
+	n.open, n.door = false, nil
 	n.dark, n.mending, n.trips, n.pool, n.wakes = false, false, map[string]*trip{}, pool{}, 0
 	rc := mallowbridge.Defaults(n.Name, boot, n.Domain)
 	if w.site != nil {
@@ -132,6 +135,7 @@
 	n.tick()
 	if w.site != nil {
 		n.arm()
+		n.unlock(w.now)
 	}
 }
 
--- a/stage/nodedays.go
+++ b/stage/nodedays.go
@@ -50,7 +50,9 @@
 		{Name: "replicas crash while nodes are killed", Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
 			return append(each(Kill, 3, 5*sec, 2*sec, nodeNames(s.Shape), 2)(rng), each(RepCrash, 3, 4*sec, 2*sec, []string{s.Offers[0].Name}, 1)(rng)...)
 		}},
-		{Name: "messages are lost", Loss: 0.02, Least: 0.95, Faults: fixedDay(one(PutStorm, 12*sec, 8*sec))},
+		{Name: "messages are lost", Loss: 0.02, Least: 0.95, Faults: func(s SiteSpec, _ *rand.Rand) []Fault {
+			return []Fault{one(PutStorm, 12*sec, 8*sec), one(Release, 13*sec, 0, s.Offers[0].Name)}
+		}},
 	}
 }
 
--- a/stage/rules.go
+++ b/stage/rules.go
@@ -66,7 +66,7 @@
 func (r *rules) arrived(i *Instance, q *request) {
 	now, n := r.s.w.now, q.n
 	r.config(i, q)
-	if at := i.shown(); q.calm && now > at+drainWithin {
+	if at := i.shown(); q.calm && at < now && r.s.since(at) > drainWithin {
 		r.breach(RuleDrain, i.ID, "%s, %s after the list showed it", n.Name, now-at)
 	}
 	if e := r.evacs[i.Domain]; e != nil && e.acked > 0 && !e.lifted {
--- a/stage/site.go
+++ b/stage/site.go
@@ -22,7 +22,7 @@
 	seeds     []string
 	first     bool
 	calls     []time.Duration
-	listDown  bool
+	downs     []window
 	misses    map[string]int
 	entries   map[string][]*Node
 	rules     *rules
@@ -133,97 +133,3 @@
 	}
 	return ns[s.whim.IntN(len(ns))]
 }
-
-type ListError struct{ Why string }
-
-func (e *ListError) Error() (text string) { return "list: " + e.Why }
-
-const platformAddr = "platform"
-
-// list has a node read the platform's list, which runs behind and takes only so many calls a second.
-func (n *Node) list() {
-	w, s := n.w, n.w.site
-	give := func(r crux.ListRead) {
-		n.later(2*w.Net.delay(false), func() { n.step(r) })
-	}
-	s.report.Lists++
-	if s.listDown || w.Net.blocked(n.Addr, platformAddr) || w.Net.blocked(platformAddr, n.Addr) {
-		n.later(800*time.Millisecond, func() { n.step(crux.ListRead{Err: &ListError{Why: "no answer"}}) })
-		return
-	}
-	s.calls = append(s.calls, w.now)
-	for len(s.calls) > 0 && w.now-s.calls[0] >= time.Second {
-		s.calls = s.calls[1:]
-	}
-	if len(s.calls) > listRate {
-		s.report.ListRefused++
-		give(crux.ListRead{Err: &ListError{Why: "called too often"}})
-		return
-	}
-	at := w.now - listBehind
-	var r crux.ListRead
-	for _, i := range s.instances {
-		if i.listed(at) {
-			r.Rows = append(r.Rows, i.row(at))
-		}
-	}
-	give(r)
-}
-
-// turn gives the router an event and sees to it that it is woken when it needs the time.
-func (n *Node) turn(ev mallowbridge.Event) (ds []mallowbridge.Decision) {
-	ds = n.router.Step(n.local(), ev)
-	if n.w.site != nil {
-		n.arm()
-	}
-	return ds
-}
-
-func (n *Node) arm() {
-	wait := mallowbridge.Idle
-	if at, any := n.router.Next(n.local()); any {
-		wait = min(max(at-n.local(), time.Millisecond), wait)
-	}
-	at := n.w.now + wait
-	if n.wakes > n.w.now && n.wakes <= at {
-		return
-	}
-	n.wakes = at
-	n.later(wait, func() {
-		if n.w.now >= n.wakes && n.wakes > 0 {
-			n.wakes = 0
-			n.decide(n.turn(mallowbridge.Tick{}))
-		}
-	})
-}
-
-// mend writes everything anew after a failure, until the disk takes it.
-func (n *Node) mend() {
-	n.mending = true
-	n.later(500*time.Millisecond, func() {
-		if n.keeper.Mend() != nil {
-			n.mend()
-			return
-		}
-		n.mending = false
-		n.step(crux.Saved{Mended: true})
-	})
-}
-
-// halt ends what runs at a node whose process ends; without power nobody is told.
-func (n *Node) halt() {
-	for _, name := range sortedKeys(n.trips) {
-		t := n.trips[name]
-		if !n.dark {
-			t.orphan()
-		}
-	}
-	if !n.dark {
-		for _, name := range sortedKeys(n.pool) {
-			for _, k := range n.pool[name].idle {
-				k.close()
-			}
-		}
-	}
-	n.trips, n.pool, n.wakes = map[string]*trip{}, pool{}, 0
-}
--- a/stage/sitefaults.go
+++ b/stage/sitefaults.go
@@ -70,8 +70,7 @@
 	case BadPuts:
 		s.ops.flawed()
 	case ListDown:
-		s.listDown = true
-		w.after(f.For, func() { s.listDown = false })
+		s.downs = append(s.downs, window{from: w.now, until: w.now + f.For})
 	default:
 		s.sway(f)
 	}
--- /dev/null
+++ b/stage/sitelist.go
@@ -0,0 +1,64 @@
+package stage
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+type ListError struct{ Why string }
+
+func (e *ListError) Error() (text string) { return "list: " + e.Why }
+
+type window struct{ from, until time.Duration }
+
+// readable tells whether the list can be read.
+func (s *site) readable() (yes bool) {
+	for _, d := range s.downs {
+		if s.w.now >= d.from && s.w.now < d.until {
+			return false
+		}
+	}
+	return true
+}
+
+// since tells how long the list could be read after that moment.
+func (s *site) since(at time.Duration) (d time.Duration) {
+	d = s.w.now - at
+	for _, x := range s.downs {
+		d -= max(min(x.until, s.w.now)-max(x.from, at), 0)
+	}
+	return d
+}
+
+const platformAddr = "platform"
+
+// list has a node read the platform's list, which runs behind and takes only so many calls a second.
+func (n *Node) list() {
+	w, s := n.w, n.w.site
+	give := func(r crux.ListRead) {
+		n.later(2*w.Net.delay(false), func() { n.step(r) })
+	}
+	s.report.Lists++
+	if !s.readable() || w.Net.blocked(n.Addr, platformAddr) || w.Net.blocked(platformAddr, n.Addr) {
+		n.later(800*time.Millisecond, func() { n.step(crux.ListRead{Err: &ListError{Why: "no answer"}}) })
+		return
+	}
+	s.calls = append(s.calls, w.now)
+	for len(s.calls) > 0 && w.now-s.calls[0] >= time.Second {
+		s.calls = s.calls[1:]
+	}
+	if len(s.calls) > listRate {
+		s.report.ListRefused++
+		give(crux.ListRead{Err: &ListError{Why: "called too often"}})
+		return
+	}
+	at := w.now - listBehind
+	var r crux.ListRead
+	for _, i := range s.instances {
+		if i.listed(at) {
+			r.Rows = append(r.Rows, i.row(at))
+		}
+	}
+	give(r)
+}
--- /dev/null
+++ b/stage/sitenode.go
@@ -0,0 +1,93 @@
+package stage
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/crux"
+)
+
+const (
+	openWithin = 700 * time.Millisecond
+	openPoll   = 20 * time.Millisecond
+)
+
+// enter leaves connections after a start in the listener's queue until they can be served, or for long enough.
+func (n *Node) enter(do func()) {
+	if n.open {
+		do()
+		return
+	}
+	n.door = append(n.door, do)
+}
+
+func (n *Node) unlock(from time.Duration) {
+	if n.router.Ready(n.local()) != "" && n.w.now-from < openWithin {
+		n.later(openPoll, func() { n.unlock(from) })
+		return
+	}
+	n.open = true
+	door := n.door
+	n.door = nil
+	for _, do := range door {
+		do()
+	}
+}
+
+// turn gives the router an event and sees to it that it is woken when it needs the time.
+func (n *Node) turn(ev mallowbridge.Event) (ds []mallowbridge.Decision) {
+	ds = n.router.Step(n.local(), ev)
+	if n.w.site != nil {
+		n.arm()
+	}
+	return ds
+}
+
+func (n *Node) arm() {
+	wait := mallowbridge.Idle
+	if at, any := n.router.Next(n.local()); any {
+		wait = min(max(at-n.local(), time.Millisecond), wait)
+	}
+	at := n.w.now + wait
+	if n.wakes > n.w.now && n.wakes <= at {
+		return
+	}
+	n.wakes = at
+	n.later(wait, func() {
+		if n.w.now >= n.wakes && n.wakes > 0 {
+			n.wakes = 0
+			n.decide(n.turn(mallowbridge.Tick{}))
+		}
+	})
+}
+
+// mend writes everything anew after a failure, until the disk takes it.
+func (n *Node) mend() {
+	n.mending = true
+	n.later(500*time.Millisecond, func() {
+		if n.keeper.Mend() != nil {
+			n.mend()
+			return
+		}
+		n.mending = false
+		n.step(crux.Saved{Mended: true})
+	})
+}
+
+// halt ends what runs at a node whose process ends; without power nobody is told.
+func (n *Node) halt() {
+	for _, name := range sortedKeys(n.trips) {
+		t := n.trips[name]
+		if !n.dark {
+			t.orphan()
+		}
+	}
+	if !n.dark {
+		for _, name := range sortedKeys(n.pool) {
+			for _, k := range n.pool[name].idle {
+				k.close()
+			}
+		}
+	}
+	n.trips, n.pool, n.wakes = map[string]*trip{}, pool{}, 0
+}
--- a/stage/sitereplicas.go
+++ b/stage/sitereplicas.go
@@ -11,7 +11,11 @@
 	w := s.w
 	switch f.Kind {
 	case Burst:
-		s.load.swells = append(s.load.swells, swell{from: w.now, until: w.now + f.For, class: 1, times: 1.5}, swell{from: w.now, until: w.now + f.For, times: 1.5})
+		for i, c := range s.spec.Classes {
+			if named := slices.Contains(f.On, c.Name); named || (len(f.On) == 0 && c.Streaming) {
+				s.load.swells = append(s.load.swells, swell{from: w.now, until: w.now + f.For, class: i, times: map[bool]float64{true: 3, false: 1.5}[named]})
+			}
+		}
 	case HotKey:
 		s.load.swells = append(s.load.swells, swell{from: w.now, until: w.now + f.For, class: 1, times: 1, hot: 0.28})
 	case RepCrash, RepDark, RepBlink:
@@ -30,9 +34,12 @@
 			s.launch(o, s.spec.Shape.Domains[k%len(s.spec.Shape.Domains)], s.address(o), o.Pace[k%len(o.Pace)], true)
 		}
 	case Garble:
-		how := f.On[0]
-		for _, i := range s.chosen(Fault{}, 6) {
-			i.garble = garble{every: 25, how: how}
+		how, every, on := f.On[0], 25, 6
+		if len(f.On) > 1 {
+			every, on = 1, len(s.instances)
+		}
+		for _, i := range s.chosen(Fault{}, on) {
+			i.garble = garble{every: every, how: how}
 			w.after(f.For, func() { i.garble = garble{} })
 		}
 	}
--- a/stage/sitereport.go
+++ b/stage/sitereport.go
@@ -24,7 +24,7 @@
 	GaveUp, LateEvents, Seconds, Resumed int
 	Lists, ListRefused                   int
 	Puts, PutsRefused                    int
-	Dials                                int
+	Dials, Misplaced                     int
 	Confirmed, Predicted                 int
 	Prompted, Cached                     uint64
 	Admitted, Refused, Preempted         uint64
@@ -88,7 +88,7 @@
 		fmt.Fprintf(out, "%-10s %6d %6d %7d %7dms %7dms\n", name, c.Asked, c.Served, c.InTime, Quantile(c.Firsts, 0.5), Quantile(c.Firsts, 0.95))
 	}
 	fmt.Fprintf(out, "outcomes %v, gave up %d, events late %d\nwhy denied: %v\n", r.Outcomes, r.GaveUp, r.LateEvents, r.Whys)
-	fmt.Fprintf(out, "second attempts %d, resumed %d, connections %d, lists %d (%d refused)\n", r.Seconds, r.Resumed, r.Dials, r.Lists, r.ListRefused)
+	fmt.Fprintf(out, "second attempts %d, resumed %d, connections %d, misplaced %d, lists %d (%d refused)\n", r.Seconds, r.Resumed, r.Dials, r.Misplaced, r.Lists, r.ListRefused)
 	fmt.Fprintf(out, "documents taken %d, refused %d; replicas admitted %d, refused %d, preempted %d\n", r.Puts, r.PutsRefused, r.Admitted, r.Refused, r.Preempted)
 	fmt.Fprintf(out, "prompt parts in cache %.1f%%, counted on: confirmed %.1f%%, predicted %.1f%%\n", share(int(r.Cached), r.Prompted), share(r.Confirmed, r.Prompted), share(r.Predicted, r.Prompted))
 }
--- a/stage/siteshape.go
+++ b/stage/siteshape.go
@@ -113,6 +113,8 @@
 		Offers: []OfferSpec{llmOffer("logbook", 9, 729140), plainOffer("onair", 4)},
 	}
 	s.Classes = classes("logbook", "onair", [3]string{"reconcile", "award", "lookup"}, 1.04, 100*time.Millisecond, 15*time.Millisecond, time.Second)
+	s.Classes[1].Attempts = 2
+	s.Offers[0].ColdRate = 6
 	return s
 }
 
--- a/stage/trip.go
+++ b/stage/trip.go
@@ -113,6 +113,7 @@
 
 func (t *trip) connect() {
 	d, w := t.ex.Place, t.n.w
+	t.guessed()
 	t.mode = connecting
 	t.turn++
 	turn := t.turn
@@ -212,6 +213,9 @@
 		return s
 	}
 	s.NotRun, s.Bare, s.Instance, s.Load = h.notRun, h.seal == "", h.instance, h.load
+	if !s.NotRun && !s.Bare {
+		t.confirmed()
+	}
 	s.Stream = t.ex.Place.Route != nil && t.ex.Place.Route.Streaming && h.stream && h.status == http.StatusOK
 	return s
 }
--- a/stage/tripsend.go
+++ b/stage/tripsend.go
@@ -28,12 +28,9 @@
 	turn := t.turn
 	k.used, k.attempt = true, t.c.id
 	r := &request{
-		try: t.c, n: t.n, attempt: t.c.id, target: d.Instance, after: t.c.last, until: at, sent: w.now,
+		try: t.c, n: t.n, attempt: t.c.id, target: d.Instance, after: t.c.last, rank: d.Rank, until: at, sent: w.now,
 		again: t.c.passes > 0, calm: w.site.rules.inTouch(t.n, w.now),
 	}
-	if d.Route != nil {
-		r.rank = d.Route.Rank
-	}
 	if d.Resumes && t.headed {
 		r.after, _ = strconv.Atoi(t.events.Last)
 	}
