Failures are told to all routers, outliers ejected; members' rankings kept; fleeting news out of digests

Cause: 88 routers meet each of 93 replicas every 9 s; each learned alone that one was ill or gone: a replica that sheds half, one that crashed and stays on the list, or one that hangs cost every router its own failure, and an answer of 500 counted as good and fast. Change: routers tell their counts of failures, judge by the sum against the requests expected, eject at most 0.4 of a service and come back one after the other; a 421 for a named instance takes it out for all. News that is replaced within a second stays out of digests. What follows from the members alone is kept until they change.

--- a/bid/course.go
+++ b/bid/course.go
@@ -48,6 +48,9 @@
 	if sound && (vouched || !a.Second || o.second.spend()) {
 		a.State, a.Sent, a.Vouched = Sent, now, vouched
 		a.Sends++
+		a.Silent = false
+		o.flow.decay(now)
+		o.flow.n++
 		m.sent(now, a.Rep)
 		if !vouched {
 			m.paid(a, o)
@@ -107,12 +110,27 @@
 	r := &m.Reps[a.Rep]
 	r.breaks = 0
 	r.prefills.remove(a.Go)
+	m.heardFrom(now, a.Rep)
 	if !ok {
 		return
 	}
 	m.learn(a, r, took)
 }
 
+// Failed tells that the replica answered, with a failure of its own: that confirms nothing and teaches nothing about its speed.
+func (m *Market) Failed(now time.Duration, id int, goID uint64) {
+	a := m.current(id, goID)
+	if a == nil || a.Confirmed {
+		return
+	}
+	a.Confirmed = true
+	r := &m.Reps[a.Rep]
+	r.prefills.remove(a.Go)
+	m.heardFrom(now, a.Rep)
+	m.ail(now, r)
+	m.fault(now, r, 1)
+}
+
 func (m *Market) Begin(id int, goID uint64) {
 	if a := m.current(id, goID); a != nil {
 		a.State = Begun
--- a/bid/finish.go
+++ b/bid/finish.go
@@ -41,6 +41,7 @@
 		m.Asks.drop(id)
 		return
 	}
+	m.silent(now, a, 1)
 	m.do(Act{Kind: Cancel, Ask: id, Go: a.Go, Rep: a.Rep, Why: "agent hung up"})
 	m.finish(now, id, a, Hung)
 }
@@ -71,11 +72,16 @@
 	case Refused:
 		m.N.Refused++
 		r.Backoff = max(r.Backoff, now+200*time.Millisecond)
+		if was != Placed && !r.crowded() {
+			m.fault(now, r, 1)
+		}
 	case Unreached:
 		m.N.Unreached++
 		m.ail(now, r)
+		m.fault(now, r, 1)
 	case Broken:
 		m.ail(now, r)
+		m.fault(now, r, 1)
 	}
 	if k.routed() {
 		m.reroute(now, id, a, was, end)
--- a/bid/load.go
+++ b/bid/load.go
@@ -6,7 +6,10 @@
 const tellLag = 2 * time.Millisecond
 
 // Told takes in what a replica said of itself in an answer.
-func (m *Market) Told(now time.Duration, rep, load int) { m.Reps[rep].report(now-tellLag, load) }
+func (m *Market) Told(now time.Duration, rep, load int) {
+	m.heardFrom(now, rep)
+	m.Reps[rep].report(now-tellLag, load)
+}
 
 // taken estimates how much of a queueing replica is taken; what others have there is believed less the older the news are.
 func (m *Market) taken(now time.Duration, rep int) (n int) {
--- a/bid/market.go
+++ b/bid/market.go
@@ -75,6 +75,7 @@
 	ConfirmedTokens, PredictedTokens, PrefixTokens      uint64
 	Rechecked, Silent, Unreached, Refused, FirstTokenOK uint64
 	Steps, Visited                                      uint64
+	Ejected                                             uint64
 }
 
 type Market struct {
@@ -93,8 +94,11 @@
 	why     string
 	turn    int
 	soonest time.Duration
-	acts    []Act
-	N       Counters
+	// unreported and unjudged tell that failures are to be told to others, or to be judged.
+	unreported, unjudged bool
+	reported, judgedAt   time.Duration
+	acts                 []Act
+	N                    Counters
 }
 
 func New(cfg Config) (m *Market) {
@@ -213,6 +217,7 @@
 	m.Index.Tick(now)
 	m.age(now)
 	m.silence(now)
+	m.judge(now)
 	m.match(now)
 	acts, m.acts = m.acts, nil
 	return acts
--- /dev/null
+++ b/bid/outlier.go
@@ -0,0 +1,272 @@
+package bid
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Outlier detection: routers judge replicas by their answers alone. At many routers each one sees a replica too seldom to judge it, so
+// each tells the others how many failures it met; a replica is ejected when the failures of several routers are too many for
+// the requests that it is held to have had.
+const (
+	faultWindow = 2500 * time.Millisecond
+	// faultShare of its requests must have failed before a replica is ejected, and faultLeast failures.
+	faultShare = 0.25
+	faultLeast = 3
+	// trialLeast are enough while only some routers have come back to it.
+	trialLeast = 1.5
+	// ejectMost bounds the ejected share of a service; more are never ejected, since the cause is then hardly theirs.
+	ejectMost = 0.4
+	ejectFor  = 1500 * time.Millisecond
+	// trialStep keeps the routers apart that try an ejected replica again.
+	trialStep = 40 * time.Millisecond
+	ejectMemo = 10 * time.Second
+	reportGap = 100 * time.Millisecond
+	judgeGap  = 100 * time.Millisecond
+	// silentAfter is how long a request may wait with nothing heard from its replica before that counts, for half a failure.
+	silentAfter = 1200 * time.Millisecond
+)
+
+// Faults counts the failures that one router met at a replica within the window.
+type Faults struct {
+	Rep int
+	N   float64
+	// Gone says that another life of the replica answered in its place.
+	Gone bool
+}
+
+type charge struct {
+	at time.Duration
+	n  float64
+}
+
+// record is what is held against a replica.
+type record struct {
+	charges map[string]charge
+	own     []charge
+	heard   time.Duration
+	ejected time.Duration
+	times   int
+	// gone is when another life answered in its place, as this router saw it.
+	gone time.Duration
+	// back is when the first router tries it again.
+	back time.Duration
+}
+
+// weight of a charge fades, since what it counts is as old as a window.
+func (c charge) weight(now time.Duration) (n float64) {
+	return c.n * max(1-float64(now-c.at)/float64(faultWindow), 0)
+}
+
+// A flow counts requests, the older ones less.
+type flow struct {
+	n     float64
+	since time.Duration
+	at    time.Duration
+}
+
+func (f *flow) decay(now time.Duration) {
+	if f.at == 0 {
+		f.since = now
+	}
+	f.n *= math.Exp(-float64(now-f.at) / float64(faultWindow))
+	f.at = now
+}
+
+// window is how many requests there are within a window, also where less than one has passed.
+func (f *flow) window() (n float64) {
+	known := 1 - math.Exp(-float64(f.at-f.since)/float64(faultWindow))
+	return f.n / max(known, 0.05)
+}
+
+// fault notes that a replica failed a request of this router.
+func (m *Market) fault(now time.Duration, r *Replica, n float64) {
+	if !r.open() || (r.cold(now) && n < 1) {
+		return
+	}
+	r.judged.own = append(r.judged.own, charge{at: now, n: n})
+	m.unreported = true
+	m.charge(now, r, m.cfg.Self, r.judged.sum(now))
+}
+
+func (v *record) sum(now time.Duration) (n float64) {
+	v.own = slices.DeleteFunc(v.own, func(c charge) bool { return now-c.at > faultWindow })
+	for _, c := range v.own {
+		n += c.n
+	}
+	return n
+}
+
+func (m *Market) charge(now time.Duration, r *Replica, by string, n float64) {
+	if r.judged.charges == nil {
+		r.judged.charges = map[string]charge{}
+	}
+	r.judged.charges[by] = charge{at: now, n: n}
+	m.unjudged = true
+}
+
+// Charge takes in the failures that another router met; each report replaces the one before it.
+func (m *Market) Charge(now time.Duration, by string, rows []Faults) {
+	if by == m.cfg.Self {
+		return
+	}
+	for _, f := range rows {
+		m.charge(now, &m.Reps[f.Rep], by, f.N)
+		if f.Gone {
+			m.Reps[f.Rep].Up = false
+		}
+	}
+}
+
+// Gone says that another life of the replica answered in its place: that needs no second word, and is told.
+func (m *Market) Gone(now time.Duration, rep int) {
+	r := &m.Reps[rep]
+	r.Up, r.judged.gone, m.unreported = false, max(now, 1), true
+}
+
+// Faults gives the failures that this router met within the window, when there are new ones to tell.
+func (m *Market) Faults(now time.Duration) (rows []Faults) {
+	if !m.unreported || now-m.reported < reportGap {
+		return nil
+	}
+	m.reported, m.unreported = now, false
+	for i := range m.Reps {
+		r := &m.Reps[i]
+		v := &r.judged
+		if !r.Listed || (len(v.own) == 0 && v.gone == 0) {
+			continue
+		}
+		f := Faults{Rep: i, N: v.sum(now), Gone: v.gone > 0 && now-v.gone < faultWindow}
+		if f.N > 0 || f.Gone {
+			rows = append(rows, f)
+		}
+	}
+	return rows
+}
+
+// silent counts a request that its replica left without a word.
+func (m *Market) silent(now time.Duration, a *Ask, n float64) {
+	if a.State != Sent || a.Confirmed || now-a.Sent < silentAfter || m.Reps[a.Rep].judged.heard >= a.Sent {
+		return
+	}
+	if n < 1 && a.Silent {
+		return
+	}
+	if a.Silent {
+		n /= 2
+	}
+	a.Silent = true
+	m.fault(now, &m.Reps[a.Rep], n)
+}
+
+func (m *Market) heardFrom(now time.Duration, rep int) { m.Reps[rep].judged.heard = now }
+
+func (m *Market) judge(now time.Duration) {
+	if !m.unjudged || now-m.judgedAt < judgeGap {
+		return
+	}
+	m.unjudged, m.judgedAt = false, now
+	for i := range m.Offers {
+		m.judgeOffer(now, &m.Offers[i])
+	}
+}
+
+type suspect struct {
+	r     *Replica
+	share float64
+}
+
+func (m *Market) judgeOffer(now time.Duration, o *Offer) {
+	open, out := 0, 0
+	by := map[string]int{}
+	for _, id := range o.Reps {
+		r := &m.Reps[id]
+		if !r.open() {
+			continue
+		}
+		open++
+		if now < r.judged.ejected {
+			out++
+		}
+		for name, c := range r.judged.charges {
+			if now-c.at > faultWindow {
+				delete(r.judged.charges, name)
+				continue
+			}
+			by[name]++
+		}
+	}
+	if len(by) == 0 || open < 2 {
+		return
+	}
+	o.flow.decay(now)
+	expected := o.flow.window() * float64(max(len(m.routers), 1)) / float64(open)
+	var suspects []suspect
+	for _, id := range o.Reps {
+		r := &m.Reps[id]
+		if !r.open() || now < r.judged.back {
+			continue
+		}
+		// A replica that is busier than others has failed more requests when the same share of them failed.
+		busy := float64(r.load()) * float64(faultWindow) / float64(max(o.hold, 10*time.Millisecond))
+		if share, yes := m.outlier(now, r, by, open, max(expected, min(busy, 3*expected))); yes {
+			suspects = append(suspects, suspect{r, share})
+		}
+	}
+	sort.SliceStable(suspects, func(i, j int) bool { return suspects[i].share > suspects[j].share })
+	for _, s := range suspects {
+		if now >= s.r.judged.ejected {
+			if out++; out > int(ejectMost*float64(open)) {
+				return
+			}
+		}
+		m.eject(now, s.r)
+	}
+}
+
+// outlier leaves out routers that complain of more than half of the replicas: what ails these is their own way there.
+func (m *Market) outlier(now time.Duration, r *Replica, by map[string]int, open int, expected float64) (share float64, yes bool) {
+	total, accusers := 0.0, 0
+	for name, c := range r.judged.charges {
+		if by[name] > max(open/2, 2) {
+			continue
+		}
+		total += c.weight(now)
+		accusers++
+	}
+	least := float64(faultLeast)
+	if v := &r.judged; v.times > 0 && now < v.back+m.trials() {
+		expected *= float64(now-v.back) / float64(m.trials())
+		least = trialLeast
+	}
+	share = total / max(expected, total, 1)
+	return share, accusers >= min(2, len(m.routers)) && total >= least && share >= faultShare
+}
+
+// trials is how long it takes until all routers have come back to an ejected replica.
+func (m *Market) trials() (t time.Duration) {
+	return max(time.Duration(len(m.routers))*trialStep, time.Second)
+}
+
+// eject keeps a replica from being chosen while another has room; the routers come back to it one after the other.
+func (m *Market) eject(now time.Duration, r *Replica) {
+	v := &r.judged
+	if now-v.ejected > ejectMemo {
+		v.times = 0
+	}
+	v.times = min(v.times+1, 3)
+	above, mine := 0, Rank("trial/"+r.Name, m.cfg.Self)
+	for _, name := range m.routers {
+		if Rank("trial/"+r.Name, name) > mine {
+			above++
+		}
+	}
+	v.back = now + ejectFor<<(v.times-1)
+	v.ejected = v.back + time.Duration(above)*trialStep
+	r.Backoff = max(r.Backoff, v.ejected)
+	clear(v.charges)
+	v.own = nil
+	m.N.Ejected++
+}
--- /dev/null
+++ b/bid/outlier_test.go
@@ -0,0 +1,224 @@
+package bid
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/hint"
+)
+
+// A crowd is many routers before many replicas, which tell each other of failures 300 ms later, with requests of one kind.
+type crowd struct {
+	ms   []*Market
+	rng  *rand.Rand
+	deaf bool
+	// answer says how long a replica takes and how a request ends there; 0: it is silent.
+	answer func(at time.Duration, rep int) (took time.Duration, end End, failed bool)
+	open   []flight
+	tells  []tell
+	failed map[time.Duration]int
+	starts map[int]int
+}
+
+type flight struct {
+	m      int
+	id     int
+	goID   uint64
+	at     time.Duration
+	end    End
+	failed bool
+}
+
+type tell struct {
+	at   time.Duration
+	from int
+	rows []Faults
+}
+
+func newCrowd(routers, replicas int) (c *crowd) {
+	c = &crowd{rng: rand.New(rand.NewPCG(7, 9)), failed: map[time.Duration]int{}, starts: map[int]int{}}
+	var rows []RouterRow
+	for i := range routers {
+		rows = append(rows, RouterRow{fmt.Sprint("n", i), "a"})
+	}
+	for i := range routers {
+		m := New(Defaults(rows[i].Name, "a"))
+		kind := Kind{Value: 1, Urgency: 1, Bound: 600 * ms, Attempts: 1, Timeout: 2500 * ms}
+		o := m.AddOffer(Offer{Name: "o", Kinds: []Kind{kind}, Queues: true, Base: 50 * ms, PerToken: 10 * time.Microsecond})
+		for k := range replicas {
+			m.Offers[o].Reps = append(m.Offers[o].Reps, m.AddReplica(Replica{Name: fmt.Sprint("r", k), Offer: o, Room: 24, Listed: true, Up: true, Warm: true}, 0))
+		}
+		m.SetRouters(0, rows)
+		c.ms = append(c.ms, m)
+	}
+	return c
+}
+
+// run has each router get perS requests a second.
+func (c *crowd) run(from, until time.Duration, perS float64) {
+	const step = 10 * ms
+	for at := from; at < until; at += step {
+		flying := c.open
+		c.open = nil
+		for _, f := range flying {
+			m := c.ms[f.m]
+			switch {
+			case f.at > at:
+				c.open = append(c.open, f)
+			case f.failed:
+				m.Failed(at, f.id, f.goID)
+				m.Finish(at, f.id, f.goID, Whole)
+			default:
+				m.Finish(at, f.id, f.goID, f.end)
+			}
+		}
+		for _, t := range c.tells {
+			if t.at == at {
+				for _, m := range c.ms {
+					m.Charge(at, fmt.Sprint("n", t.from), t.rows)
+				}
+			}
+		}
+		for i, m := range c.ms {
+			m.Feed(at, "")
+			for n := c.rng.Float64(); n < perS*step.Seconds(); n++ {
+				m.Arrive(at, Ask{Parts: []hint.Part{{Key: hint.Key(c.rng.Uint64()), Tokens: 500}}})
+			}
+			c.acts(at, i, m.Tick(at))
+			if rows := m.Faults(at); len(rows) > 0 && !c.deaf {
+				c.tells = append(c.tells, tell{at: at + 300*ms, from: i, rows: rows})
+			}
+		}
+	}
+}
+
+func (c *crowd) acts(at time.Duration, i int, acts []Act) {
+	m := c.ms[i]
+	for _, a := range acts {
+		switch a.Kind {
+		case Place:
+			m.Leave(at, a.Ask, a.Go)
+			c.acts(at, i, m.Tick(at))
+		case Send:
+			c.starts[a.Rep]++
+			took, end, failed := c.answer(at, a.Rep)
+			if failed || end == Broken || took == 0 {
+				c.failed[at.Truncate(time.Second)]++
+			}
+			if took > 0 {
+				c.open = append(c.open, flight{m: i, id: a.Ask, goID: a.Go, at: at + took, end: end, failed: failed})
+			}
+		}
+	}
+}
+
+func TestManyRoutersEjectWhatFailsThemTogether(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ill  int
+		how  func(c *crowd) (took time.Duration, end End, failed bool)
+		most float64
+	}{
+		{"errors", 3, func(*crowd) (time.Duration, End, bool) { return 5 * ms, Whole, true }, 0.55},
+		{"breaks", 3, func(*crowd) (time.Duration, End, bool) { return 5 * ms, Broken, false }, 0.55},
+		{"errors for half", 3, func(c *crowd) (time.Duration, End, bool) {
+			if c.rng.Float64() < 0.5 {
+				return 5 * ms, Whole, true
+			}
+			return 60 * ms, Whole, false
+		}, 0.75},
+		{"silent", 3, func(*crowd) (time.Duration, End, bool) { return 0, 0, false }, 0.6},
+	} {
+		failures := map[bool]int{}
+		for _, deaf := range []bool{true, false} {
+			w := newCrowd(30, 30)
+			w.deaf = deaf
+			w.answer = func(at time.Duration, rep int) (time.Duration, End, bool) {
+				if rep < c.ill && at >= 5*time.Second && at < 12*time.Second {
+					return c.how(w)
+				}
+				return 60 * ms, Whole, false
+			}
+			w.run(3*time.Second, 12*time.Second, 9)
+			for _, n := range w.failed {
+				failures[deaf] += n
+			}
+			if deaf {
+				continue
+			}
+			w.run(12*time.Second, 24*time.Second, 9)
+			w.starts = map[int]int{}
+			w.run(24*time.Second, 28*time.Second, 9)
+			for rep := range c.ill {
+				if w.starts[rep] < 10 {
+					t.Errorf("%s: replica %d had %d requests in 4 s, 12 s after it was well again", c.name, rep, w.starts[rep])
+				}
+			}
+		}
+		t.Logf("%s: %d failures alone, %d together", c.name, failures[true], failures[false])
+		if float64(failures[false]) > c.most*float64(failures[true]) {
+			t.Errorf("%s: %d failures where each router judges alone, %d together", c.name, failures[true], failures[false])
+		}
+	}
+}
+
+func TestFewFailuresEjectNobody(t *testing.T) {
+	w := newCrowd(30, 30)
+	w.answer = func(time.Duration, int) (time.Duration, End, bool) {
+		if w.rng.Float64() < 0.05 {
+			return 5 * ms, Broken, false
+		}
+		return 60 * ms, Whole, false
+	}
+	w.run(3*time.Second, 13*time.Second, 9)
+	ejected := uint64(0)
+	for _, m := range w.ms {
+		ejected += m.N.Ejected
+	}
+	if ejected > 30 {
+		t.Errorf("%d ejections where 5 %% fail everywhere", ejected)
+	}
+}
+
+func TestAServiceIsNeverEmptiedByEjection(t *testing.T) {
+	w := newCrowd(20, 10)
+	w.answer = func(time.Duration, int) (time.Duration, End, bool) { return 5 * ms, Whole, true }
+	w.run(3*time.Second, 9*time.Second, 20)
+	for i, m := range w.ms {
+		out := 0
+		for k := range m.Reps {
+			if 9*time.Second < m.Reps[k].judged.ejected {
+				out++
+			}
+		}
+		if out > 4 {
+			t.Fatalf("router %d ejected %d of 10", i, out)
+		}
+	}
+	if len(w.starts) != 10 {
+		t.Errorf("requests went to %d of 10 replicas", len(w.starts))
+	}
+}
+
+// A router whose own way to the replicas is broken accuses them all; the others take no heed.
+func TestAnAccuserOfAllIsNotBelieved(t *testing.T) {
+	m := newCrowd(3, 10).ms[0]
+	at := 5 * time.Second
+	var all []Faults
+	for i := range 10 {
+		all = append(all, Faults{Rep: i, N: 8})
+	}
+	m.Charge(at, "n1", all)
+	m.Charge(at, "n2", []Faults{{Rep: 3, N: 8}})
+	m.Tick(at)
+	if m.N.Ejected != 0 {
+		t.Fatal("ejected on the word of one router besides one that accuses all")
+	}
+	m.Charge(at+time.Second, "n0x", []Faults{{Rep: 3, N: 8}})
+	m.Tick(at + time.Second)
+	if m.N.Ejected != 1 || m.Reps[3].fit(at+2*time.Second) {
+		t.Fatalf("%d ejected on the word of two routers", m.N.Ejected)
+	}
+}
--- a/bid/replica.go
+++ b/bid/replica.go
@@ -38,6 +38,8 @@
 	coldNext  time.Duration
 	coldSent  time.Duration
 	sentOnce  bool
+
+	judged record
 }
 
 func (r *Replica) open() (yes bool) {
--- a/bid/route.go
+++ b/bid/route.go
@@ -165,9 +165,11 @@
 // expire gives up a routed request whose time is over; until then a silent replica is left to answer.
 func (m *Market) expire(now time.Duration, id int, a *Ask) {
 	if now < a.Deadline {
+		m.silent(now, a, 0.5)
 		m.soonest = min(m.soonest, a.Deadline)
 		return
 	}
+	m.silent(now, a, 1)
 	m.do(Act{Kind: Cancel, Ask: id, Go: a.Go, Rep: a.Rep, Why: "no time is left"})
 	m.release(now, a)
 	a.Resume = a.Resume || a.State == Begun
--- a/bid/table.go
+++ b/bid/table.go
@@ -38,6 +38,7 @@
 	Vouched   bool
 	Paid      bool
 	Peeked    bool
+	Silent    bool
 	Began     time.Duration
 	Sent      time.Duration
 	Confirmed bool
@@ -125,6 +126,7 @@
 	ColdRate float64
 
 	second purse
+	flow   flow
 	hold   time.Duration
 	Firsts uint64
 	Again  uint64
--- a/crux/duty.go
+++ b/crux/duty.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/mallowbridge/mallowbridge"
-	"github.com/mallowbridge/mallowbridge/bid"
 	"github.com/mallowbridge/mallowbridge/kin"
 	"github.com/mallowbridge/mallowbridge/rumor"
 	"github.com/mallowbridge/mallowbridge/term"
@@ -63,20 +62,17 @@
 }
 
 func (n *Node) first(duty, domain string) (yes bool) {
-	var near, all []string
+	near := false
 	for _, m := range n.Kin.Table.All() {
-		if m.State != kin.Alive {
-			continue
-		}
-		all = append(all, m.Name)
-		if m.Domain == domain {
-			near = append(near, m.Name)
-		}
+		near = near || (m.State == kin.Alive && m.Domain == domain)
 	}
-	if len(near) == 0 {
-		near = all
+	kind := "all/"
+	if near {
+		kind = "near/" + domain + "/"
 	}
-	return bid.Nearest(duty, near)[0] == n.cfg.Name
+	return n.place(kind, duty, func(m kin.Member) bool {
+		return m.State == kin.Alive && (!near || m.Domain == domain)
+	}) == 0
 }
 
 func (n *Node) work(now time.Duration) {
--- /dev/null
+++ b/crux/failures.go
@@ -0,0 +1,27 @@
+package crux
+
+import (
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+// Failures is one router's news of replicas that failed its requests.
+type Failures struct{ mallowbridge.Failures }
+
+func (f Failures) Fleeting() (yes bool)  { return true }
+func (f Failures) Since() (build uint32) { return 2 }
+
+// Failed has the other nodes told of failures that this node's router met.
+type Failed struct{ mallowbridge.Failures }
+
+func (Failed) in() {}
+
+func (n *Node) failed(f Failed) {
+	n.failures++
+	n.Rumor.Put(rumor.Item{Key: "f/" + n.cfg.Name, Mark: n.mark(n.failures), Data: Failures(f)})
+}
+
+// mark orders the news that only this node gives, over its lives.
+func (n *Node) mark(seq uint64) (m rumor.Mark) { return rumor.Mark{Hi: n.Kin.Self.Inc, Lo: seq} }
+
+func (n *Node) onFailures(f Failures) { n.event(f.Failures) }
--- /dev/null
+++ b/crux/failures_test.go
@@ -0,0 +1,66 @@
+package crux
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+)
+
+func TestAllNodesHearOfFailures(t *testing.T) {
+	l := newLab(t, 30)
+	l.run(3 * time.Second)
+	for i := range uint64(3) {
+		l.failures = map[string]mallowbridge.Failures{}
+		want := mallowbridge.Failures{By: "n7", Rows: []mallowbridge.Failure{{Replica: "r", N: float64(i + 1)}}}
+		l.step("n7", Failed{want})
+		l.run(900 * time.Millisecond)
+		missed := 0
+		for _, name := range l.order {
+			if got := l.failures[name]; name != "n7" && (got.By != "n7" || len(got.Rows) != 1 || got.Rows[0] != want.Rows[0]) {
+				missed++
+			}
+		}
+		if missed > 3 {
+			t.Errorf("round %d: %d of 29 nodes did not hear of it", i, missed)
+		}
+	}
+}
+
+// News that is replaced every second must not keep digests from ever agreeing: each difference costs both sides all marks.
+func TestAReadingOfTheListDoesNotUnsettleDigests(t *testing.T) {
+	l := newLab(t, 24)
+	l.list = []mallowbridge.Instance{{ID: "i1", Offer: "o"}}
+	l.run(8 * time.Second)
+	l.marks = 0
+	l.run(10 * time.Second)
+	if l.marks > 24 {
+		t.Errorf("%d lists of marks in 10 s of calm", l.marks)
+	}
+}
+
+func TestAReaderThatRestartsIsHeardAtOnce(t *testing.T) {
+	l := newLab(t, 9)
+	l.list = []mallowbridge.Instance{{ID: "i1", Offer: "o"}}
+	l.run(6 * time.Second)
+	reader := ""
+	for name, n := range l.lists {
+		if reader == "" || n > l.lists[reader] {
+			reader = name
+		}
+	}
+	l.down[reader] = true
+	l.run(100 * time.Millisecond)
+	l.boot(reader, false)
+	l.run(2 * time.Second)
+	l.lists = map[string]int{}
+	l.run(10 * time.Second)
+	sum := 0
+	for _, n := range l.lists {
+		sum += n
+	}
+	if sum > 14 {
+		t.Errorf("%d readings in 10 s: %v", sum, fmt.Sprint(l.lists))
+	}
+}
--- a/crux/lab_test.go
+++ b/crux/lab_test.go
@@ -35,6 +35,9 @@
 	lists   map[string]int
 	rosters map[string][]mallowbridge.Instance
 	changes []string
+	// failures are the last ones each node heard of, marks the lists of marks sent.
+	failures map[string]mallowbridge.Failures
+	marks    int
 }
 
 func newLab(t *testing.T, size int) (l *lab) {
@@ -78,6 +81,9 @@
 func (l *lab) step(name string, in In) {
 	out := l.nodes[name].Step(l.now, in)
 	for _, s := range out.Sends {
+		if _, ok := s.Msg.(rumor.Marks); ok {
+			l.marks++
+		}
 		l.mail = append(l.mail, parcel{at: l.now + time.Millisecond, from: name, to: s.To, msg: s.Msg})
 	}
 	if n := len(out.Writes); n > 0 {
@@ -95,6 +101,9 @@
 		if r, ok := ev.(mallowbridge.Roster); ok {
 			l.rosters[name] = r.Rows
 		}
+		if f, ok := ev.(mallowbridge.Failures); ok && l.failures != nil {
+			l.failures[name] = f
+		}
 	}
 	for _, c := range out.Changes {
 		l.changes = append(l.changes, name+" "+c.What)
--- a/crux/list.go
+++ b/crux/list.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/mallowbridge/mallowbridge"
-	"github.com/mallowbridge/mallowbridge/bid"
+	"github.com/mallowbridge/mallowbridge/kin"
 	"github.com/mallowbridge/mallowbridge/rumor"
 )
 
 const (
 	rosterKey = "l"
-	readKey   = "lt"
+	readKey   = "lt/"
 	listDuty  = "list"
 	// listPatience is how long news of a reading may stay away until a node reads for itself; each next in rank waits one step more.
 	listPatience = 1300 * time.Millisecond
@@ -30,7 +30,7 @@
 // Reading tells that the list was read and that the roster of that version is what it says.
 type Reading struct{ Version rumor.Mark }
 
-func (r Reading) Passing() (yes bool)   { return true }
+func (r Reading) Fleeting() (yes bool)  { return true }
 func (r Reading) Since() (build uint32) { return 2 }
 
 // ListRead is what a reading of the platform's list brought.
@@ -87,13 +87,7 @@
 }
 
 func (n *Node) rank(duty string) (place int) {
-	var names []string
-	for _, m := range n.Kin.Table.All() {
-		if m.Live() {
-			names = append(names, m.Name)
-		}
-	}
-	return min(slices.Index(bid.Nearest(duty, names), n.cfg.Name), listStride)
+	return min(n.place("live/", duty, kin.Member.Live), listStride)
 }
 
 func (n *Node) listRead(now time.Duration, r ListRead) {
@@ -116,11 +110,7 @@
 	} else {
 		version = it.Mark
 	}
-	seq := rumor.Mark{Hi: 1, Lo: n.cfg.Seed}
-	if old, ok := n.Rumor.Get(readKey); ok {
-		seq.Hi = old.Mark.Hi + 1
-	}
-	n.Rumor.Put(rumor.Item{Key: readKey, Mark: seq, Data: Reading{Version: version}})
+	n.Rumor.Put(rumor.Item{Key: readKey + n.cfg.Name, Mark: n.mark(l.reads), Data: Reading{Version: version}})
 }
 
 // sameRoster leaves out how long a replica stays cold, but not whether it is.
--- a/crux/msg.go
+++ b/crux/msg.go
@@ -17,7 +17,7 @@
 		"ta": term.Ask{}, "tg": term.Grant{}, "td": term.Drop{},
 		"kp": kin.Ping{}, "ka": kin.Ack{}, "kf": kin.PingFor{}, "km": kin.Member{},
 		"rn": rumor.News{}, "rs": rumor.Sum{}, "rm": rumor.Marks{}, "rw": rumor.Want{}, "rt": rumor.Tell{},
-		"cu": Usages{}, "cl": Listing{}, "cr": Roster{}, "ch": Reading{}, "cp": Prefills{},
+		"cu": Usages{}, "cl": Listing{}, "cr": Roster{}, "ch": Reading{}, "cp": Prefills{}, "cf": Failures{},
 		"ws": WitnessAsk{}, "wy": WitnessSay{}, "wf": WitnessForget{},
 	} {
 		gob.RegisterName(name, v)
--- a/crux/news.go
+++ b/crux/news.go
@@ -48,6 +48,8 @@
 		n.onRoster(d)
 	case Reading:
 		n.onReading(now, d)
+	case Failures:
+		n.onFailures(d)
 	}
 }
 
@@ -67,6 +69,11 @@
 	if n.settled == 0 && n.joined {
 		n.settled = now + settle
 	}
+	d := n.derive()
+	if d.shared && d.joined == n.joined {
+		return
+	}
+	d.shared, d.joined = true, n.joined
 	var names, domains []string
 	for _, m := range n.Kin.Table.All() {
 		if !m.Live() || (m.Name == n.cfg.Name && !n.joined) {
--- a/crux/node.go
+++ b/crux/node.go
@@ -82,6 +82,8 @@
 	founding bool
 	foundAt  time.Duration
 	lists    listing
+	failures uint64
+	derived  derived
 
 	duties  duties
 	sights  map[string]*sight
@@ -125,6 +127,8 @@
 		n.probed(now, i)
 	case Sighted:
 		n.sighted(now, i)
+	case Failed:
+		n.failed(i)
 	case ListRead:
 		n.listRead(now, i)
 	case Command:
--- /dev/null
+++ b/crux/place.go
@@ -0,0 +1,52 @@
+package crux
+
+import (
+	"github.com/mallowbridge/mallowbridge/bid"
+	"github.com/mallowbridge/mallowbridge/kin"
+	"github.com/mallowbridge/mallowbridge/rumor"
+)
+
+// derived holds what follows from the members alone. It is kept until they change, since every tick of every node asks for it.
+type derived struct {
+	rev    uint64
+	places map[string]int
+	peers  []rumor.Peer
+	joined bool
+	shared bool
+}
+
+const absent = -1
+
+func (n *Node) derive() (d *derived) {
+	if rev := n.Kin.Table.Rev(); n.derived.places == nil || n.derived.rev != rev {
+		n.derived = derived{rev: rev, places: map[string]int{}}
+	}
+	return &n.derived
+}
+
+// place is how many of the members that fit come before this node in the ranking for a duty, or absent where it does not fit itself.
+func (n *Node) place(kind, duty string, fits func(m kin.Member) bool) (above int) {
+	d := n.derive()
+	above, ok := d.places[kind+duty]
+	if ok {
+		return above
+	}
+	mine, here := bid.Rank(duty, n.cfg.Name), false
+	for _, m := range n.Kin.Table.All() {
+		if !fits(m) {
+			continue
+		}
+		if m.Name == n.cfg.Name {
+			here = true
+			continue
+		}
+		if w := bid.Rank(duty, m.Name); w > mine || (w == mine && m.Name < n.cfg.Name) {
+			above++
+		}
+	}
+	if !here {
+		above = absent
+	}
+	d.places[kind+duty] = above
+	return above
+}
--- /dev/null
+++ b/crux/place_test.go
@@ -0,0 +1,53 @@
+package crux
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/bid"
+	"github.com/mallowbridge/mallowbridge/kin"
+)
+
+func TestPlacesFollowTheMembers(t *testing.T) {
+	l := newLab(t, 12)
+	l.run(3 * time.Second)
+	check := func(when string) {
+		t.Helper()
+		firsts := map[string]int{}
+		for _, name := range l.order {
+			if l.down[name] {
+				continue
+			}
+			n := l.nodes[name]
+			var all, near []string
+			for _, m := range n.Kin.Table.All() {
+				if m.State == kin.Alive {
+					all = append(all, m.Name)
+					if m.Domain == "1" {
+						near = append(near, m.Name)
+					}
+				}
+			}
+			for _, duty := range []string{"mend", "list"} {
+				ranked := bid.Nearest(duty, all)
+				if got, want := n.place("all/", duty, func(m kin.Member) bool { return m.State == kin.Alive }), slices.Index(ranked, name); got != want {
+					t.Errorf("%s: %s is at place %d of %s, want %d", when, name, got, duty, want)
+				}
+				if n.first(duty, "1") != (bid.Nearest(duty, near)[0] == name) || n.first(duty, "nowhere") != (ranked[0] == name) {
+					t.Errorf("%s: %s disagrees on who is first for %s", when, name, duty)
+				}
+				if n.first(duty, "") {
+					firsts[duty]++
+				}
+			}
+		}
+		if firsts["mend"] != 1 || firsts["list"] != 1 {
+			t.Errorf("%s: %v are first", when, firsts)
+		}
+	}
+	check("all are up")
+	l.down[bid.Nearest("mend", l.order)[0]] = true
+	l.run(4 * time.Second)
+	check("the first is down")
+}
--- a/crux/send.go
+++ b/crux/send.go
@@ -39,6 +39,11 @@
 }
 
 func (n *Node) peers() (ps []rumor.Peer) {
+	d := n.derive()
+	if d.peers != nil {
+		return d.peers
+	}
+	defer func() { d.peers = ps }()
 	for _, m := range n.Kin.Table.All() {
 		if m.Name != n.cfg.Name && m.Live() {
 			ps = append(ps, rumor.Peer{Name: m.Name, Addr: m.Addr, Domain: m.Domain, Near: m.Domain == n.cfg.Domain})
--- a/desk.go
+++ b/desk.go
@@ -23,6 +23,8 @@
 	every time.Duration
 	// announce is told of prompts that other routers should know of; it must not wait.
 	announce func(p Prefill)
+	// Failures carries what the router would tell others of failing replicas; what nobody takes in time is dropped.
+	Failures chan Failures
 }
 
 // Idle is how long a desk sleeps at most.
@@ -32,7 +34,7 @@
 
 // NewDesk starts the goroutine; it sleeps until the router needs the time, and never longer than every.
 func NewDesk(t *tomb.Tomb, r *Router, clock func() time.Duration, every time.Duration) (d *Desk) {
-	d = &Desk{t: t, clock: clock, in: make(chan ask, deskQueue), r: r, subs: map[string]chan Decision{}, every: every}
+	d = &Desk{t: t, clock: clock, in: make(chan ask, deskQueue), r: r, subs: map[string]chan Decision{}, every: every, Failures: make(chan Failures, 1)}
 	t.Go(d.run)
 	return d
 }
@@ -52,10 +54,22 @@
 		case a := <-d.in:
 			d.take(a)
 		}
+		d.report()
 		wake.Reset(d.pause())
 	}
 }
 
+func (d *Desk) report() {
+	f, any := d.r.Failures(d.clock())
+	if !any {
+		return
+	}
+	select {
+	case d.Failures <- f:
+	default:
+	}
+}
+
 const shortestPause = time.Millisecond
 
 func (d *Desk) pause() (t time.Duration) {
--- a/events.go
+++ b/events.go
@@ -104,6 +104,21 @@
 	Request    string `json:"request"`
 	Go         string `json:"go"`
 	InstanceID string `json:"instanceId"`
+	// Failed says that the answer is a failure of the replica's own.
+	Failed bool `json:"failed,omitempty"`
+}
+
+// Failures tells how many requests failed lately at which replicas of a router; each report replaces the one before it.
+type Failures struct {
+	By   string
+	Rows []Failure
+}
+
+// Failure counts a silent request for half. Gone says that another life of the replica answered in its place.
+type Failure struct {
+	Replica string
+	N       float64
+	Gone    bool
 }
 
 type Piece struct {
@@ -158,6 +173,7 @@
 func (Load) event()      {}
 func (Prefill) event()   {}
 func (Misplaced) event() {}
+func (Failures) event()  {}
 
 type Verdict string
 
--- a/ferry/exchange.go
+++ b/ferry/exchange.go
@@ -176,7 +176,12 @@
 	case s.Open, s.Bare && s.Status/100 == 2, e.began && !s.Stream:
 		e.end(mallowbridge.Broken)
 	default:
-		e.tell(mallowbridge.Head{Request: e.Request, Go: e.Place.Go, InstanceID: cmp.Or(s.Instance, e.Place.Instance)})
+		e.tell(mallowbridge.Head{Request: e.Request, Go: e.Place.Go, InstanceID: cmp.Or(s.Instance, e.Place.Instance), Failed: failure(s.Status)})
 		e.do(Move{Kind: Pass})
 	}
 }
+
+// failure tells whether a status says that the replica is ill; one that only ran out of time is not.
+func failure(status int) (yes bool) {
+	return status >= 500 && status != http.StatusGatewayTimeout
+}
--- a/ferry/ferry_test.go
+++ b/ferry/ferry_test.go
@@ -113,3 +113,17 @@
 	want(t, "status", call(t, url, "id1", "").status, 503)
 	want(t, "events", m.heard(), "End(unreached)")
 }
+
+func TestAFailureOfTheReplicaIsPassedOnAndTold(t *testing.T) {
+	for status, failed := range map[string]bool{"500 Oops": true, "504 Late": false, "404 None": false, "200 OK": false} {
+		rep := newReplica(t, say(status, "", "whole"))
+		m := newMarket(mallowbridge.Decision{Verdict: mallowbridge.Deny}, rep.place(unsafe))
+		_, url := serve(t, m)
+		r := call(t, url, "id1", "")
+		want(t, "answer", strconv.Itoa(r.status)+" "+r.body, status[:3]+" whole")
+		<-m.events
+		if h, ok := (<-m.events).(mallowbridge.Head); !ok || h.Failed != failed {
+			t.Errorf("%s: told as failed: %v", status, h.Failed)
+		}
+	}
+}
--- a/follow.go
+++ b/follow.go
@@ -14,7 +14,7 @@
 
 func init() {
 	for name, v := range map[string]any{
-		"ew": Welcome{}, "en": Numbered{}, "eo": Order{}, "er": Routers{}, "eu": Usage{}, "el": Listing{}, "ef": Feed{}, "ed": Doubt{}, "eR": Roster{},
+		"ew": Welcome{}, "en": Numbered{}, "eo": Order{}, "er": Routers{}, "eu": Usage{}, "el": Listing{}, "ef": Feed{}, "ed": Doubt{}, "eR": Roster{}, "eF": Failures{},
 	} {
 		gob.RegisterName(name, v)
 	}
--- a/hearth/follow.go
+++ b/hearth/follow.go
@@ -32,6 +32,7 @@
 
 func (fs *followers) tell(ev mallowbridge.Event) {
 	switch e := ev.(type) {
+	case mallowbridge.Failures:
 	case mallowbridge.Doubt:
 		delete(fs.last, keyOf(mallowbridge.Usage{Replica: e.Replica}))
 	default:
--- a/hearth/hearth.go
+++ b/hearth/hearth.go
@@ -115,6 +115,7 @@
 		t.Go(h.keep)
 	}
 	t.Go(h.watch)
+	t.Go(h.failures)
 	t.Go(h.control)
 	return h, nil
 }
--- a/hearth/keep.go
+++ b/hearth/keep.go
@@ -14,6 +14,18 @@
 	return nil
 }
 
+// failures hands what the market says of failing replicas to control, which tells the other nodes.
+func (h *Hearth) failures() (err error) {
+	for {
+		select {
+		case <-h.T.Dying():
+			return nil
+		case f := <-h.Desk.Failures:
+			h.give(crux.Failed{Failures: f})
+		}
+	}
+}
+
 func (h *Hearth) keep() (err error) {
 	var mend <-chan time.Time
 	for {
--- a/hearth/valve.go
+++ b/hearth/valve.go
@@ -80,6 +80,8 @@
 		return "4"
 	case mallowbridge.Doubt:
 		return "5" + e.Replica
+	case mallowbridge.Failures:
+		return "6" + e.By
 	}
 	return ""
 }
--- a/kin/member.go
+++ b/kin/member.go
@@ -94,6 +94,9 @@
 	t.rev++
 }
 
+// Rev changes whenever the table does.
+func (t *Table) Rev() (rev uint64) { return t.rev }
+
 func (t *Table) Get(name string) (m Member, ok bool) {
 	m, ok = t.rows[name]
 	return m, ok
--- a/kin/watch.go
+++ b/kin/watch.go
@@ -64,6 +64,9 @@
 	suspect map[string]time.Duration
 	watched map[string]bool
 	chosen  uint64
+	// others is their number at the revision before counted.
+	others  int
+	counted uint64
 	heard   time.Duration
 	ticked  time.Duration
 	news    []Member
@@ -134,6 +137,10 @@
 }
 
 func (k *Kin) Others() (n int) {
+	if k.counted == k.Table.rev+1 {
+		return k.others
+	}
+	defer func() { k.others, k.counted = n, k.Table.rev+1 }()
 	for _, m := range k.Table.rows {
 		if m.Name != k.Self.Name && m.State != Left {
 			n++
--- a/route_test.go
+++ b/route_test.go
@@ -184,3 +184,27 @@
 		t.Errorf("%d starts at once on a replica that may be cold", n)
 	}
 }
+
+// One router's 421 is enough for all: the instance that was named is gone.
+func TestWhatOneRouterFindsGoneIsGoneForAll(t *testing.T) {
+	p := routes(1, route("r", "/", all("a")))
+	rows := []mallowbridge.Instance{row("i1", "a"), row("i2", "a")}
+	one, two := routed(p, rows...), routed(p, rows...)
+	if f, any := one.Failures(settled); any {
+		t.Fatalf("%+v", f)
+	}
+	one.Step(settled, mallowbridge.Misplaced{Replica: "i2"})
+	f, any := one.Failures(settled)
+	if !any || len(f.Rows) != 1 || f.Rows[0] != (mallowbridge.Failure{Replica: "i2", Gone: true}) {
+		t.Fatalf("%+v", f)
+	}
+	f.By = "n2"
+	two.Step(settled, f)
+	for i := range 8 {
+		for _, d := range get(two, settled+time.Duration(i), fmt.Sprint("q", i), "/") {
+			if d.Instance == "i2" {
+				t.Fatalf("%+v", d)
+			}
+		}
+	}
+}
--- a/router.go
+++ b/router.go
@@ -132,8 +132,10 @@
 		}
 	case Misplaced:
 		if id, ok := r.reps[e.Replica]; ok {
-			r.m.Reps[id].Up = false
+			r.m.Gone(now, id)
 		}
+	case Failures:
+		r.failures(now, e)
 	case Doubt:
 		if id, ok := r.reps[e.Replica]; ok {
 			r.m.Reps[id].Doubt = now
@@ -208,5 +210,28 @@
 		g, _ := r.goSeq(e.Go)
 		r.instance(now, rep, e.InstanceID, 0, g)
 	}
+	if e.Failed {
+		r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Failed(now, id, g) })
+		return
+	}
 	r.with(e.Request, e.Go, func(id int, g uint64) { r.m.Head(now, id, g) })
 }
+
+// Failures gives what this router is to tell the others of failing replicas, if anything.
+func (r *Router) Failures(now time.Duration) (f Failures, any bool) {
+	for _, row := range r.m.Faults(now) {
+		f.Rows = append(f.Rows, Failure{Replica: r.seats[row.Rep].name, N: row.N, Gone: row.Gone})
+	}
+	f.By = r.cfg.Self
+	return f, len(f.Rows) > 0
+}
+
+func (r *Router) failures(now time.Duration, e Failures) {
+	var rows []bid.Faults
+	for _, f := range e.Rows {
+		if id, ok := r.reps[f.Replica]; ok {
+			rows = append(rows, bid.Faults{Rep: id, N: f.N, Gone: f.Gone})
+		}
+	}
+	r.m.Charge(now, e.By, rows)
+}
--- a/rumor/rumor.go
+++ b/rumor/rumor.go
@@ -77,6 +77,14 @@
 	far   reach
 }
 
+// fleeting news is soon replaced and of no use when old: it is pushed, and digests leave it out, which otherwise never agreed.
+type fleeting interface{ Fleeting() (yes bool) }
+
+func (it Item) fleeting() (yes bool) {
+	f, ok := it.Data.(fleeting)
+	return ok && f.Fleeting()
+}
+
 // passing news is soon replaced and told once.
 type passing interface{ Passing() (yes bool) }
 
@@ -87,6 +95,7 @@
 	hot      map[string]*hot
 	asked    map[string]asked
 	hash     uint64
+	lasting  int
 	pushed   time.Duration
 	digested [2]time.Duration
 	Fresh    uint64
@@ -122,10 +131,14 @@
 		s.Stale++
 		return false
 	}
-	if ok {
+	if ok && !old.fleeting() {
 		s.hash ^= leaf(old.Key, old.Mark)
+		s.lasting--
+	}
+	if !it.fleeting() {
+		s.hash ^= leaf(it.Key, it.Mark)
+		s.lasting++
 	}
-	s.hash ^= leaf(it.Key, it.Mark)
 	s.items[it.Key] = it
 	left := s.cfg.Rounds
 	if p, ok := it.Data.(passing); ok && p.Passing() {
@@ -144,8 +157,10 @@
 func (s *Store) Len() (n int) { return len(s.items) }
 
 func (s *Store) keys() (keys []string) {
-	for k := range s.items {
-		keys = append(keys, k)
+	for k, it := range s.items {
+		if !it.fleeting() {
+			keys = append(keys, k)
+		}
 	}
 	sort.Strings(keys)
 	return keys
@@ -169,7 +184,7 @@
 }
 
 func (s *Store) OnSum(from string, m Sum) (sends []Send) {
-	if m.Hash == s.hash && m.N == len(s.items) {
+	if m.Hash == s.hash && m.N == s.lasting {
 		return nil
 	}
 	return []Send{{To: from, Msg: s.Marks(true)}}
@@ -224,7 +239,7 @@
 		}
 		s.digested[i] = now
 		for _, p := range s.pick(peers, i == 0, 1) {
-			sends = append(sends, Send{To: p.Addr, Msg: Sum{Hash: s.hash, N: len(s.items)}})
+			sends = append(sends, Send{To: p.Addr, Msg: Sum{Hash: s.hash, N: s.lasting}})
 		}
 	}
 	return sends
