--- /dev/null
+++ b/crux/incident_test.go
@@ -0,0 +1,93 @@
+package crux
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge"
+)
+
+func (l *lab) await(what string, within time.Duration, ok func() (yes bool)) {
+	l.t.Helper()
+	for from := l.now; !ok(); {
+		if l.run(10 * time.Millisecond); l.now-from > within {
+			l.t.Fatalf("%s: not within %s", what, within)
+		}
+	}
+}
+
+func (l *lab) serves(name string) (yes bool) {
+	return l.nodes[name].Picture() != nil && l.nodes[name].why == ""
+}
+
+// docs/incidents/inc-3a1a.md: right after a yes all three voters lose power, and one of them its disk; no other disk is there.
+func TestAllVotersLosePowerAndOneItsDisk(t *testing.T) {
+	l := newLab(t, 9)
+	l.down["n3"] = true
+	l.list = []mallowbridge.Instance{{ID: "i1", Offer: "o"}}
+	l.run(2 * time.Second)
+	if a := l.write("n7", "x"); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+	l.wipe("n2")
+	l.down["n0"], l.down["n1"] = true, true
+	l.run(1200 * time.Millisecond)
+	for _, name := range []string{"n4", "n5", "n6", "n7", "n8"} {
+		if !l.serves(name) {
+			t.Errorf("%s does not serve while there are no voters: %q", name, l.nodes[name].why)
+		}
+	}
+	for _, name := range []string{"n0", "n1", "n2"} {
+		l.boot(name, false)
+		l.step(name, Tick{})
+	}
+	l.await("the emptied disk votes", 1500*time.Millisecond, func() bool { return slices.Contains(l.voters(), l.disks["n2"]) })
+	for _, name := range l.order {
+		if name != "n3" && !l.serves(name) {
+			t.Errorf("%s does not serve", name)
+		}
+	}
+	l.down["n0"] = true
+	if got := l.read("n2"); got != "x" {
+		t.Errorf("%q is read", got)
+	}
+	if a := l.write("n6", "y"); a.Err != nil {
+		t.Fatalf("after one further loss: %v", a.Err)
+	}
+}
+
+// docs/incidents/inc-d97d.md: a voter loses power after a yes, later all machines do, and those without a disk are back first.
+func TestMachinesWithoutDisksAreBackBeforeTheVoters(t *testing.T) {
+	l := newLab(t, 12)
+	l.list = []mallowbridge.Instance{{ID: "i1", Offer: "o"}}
+	l.run(2 * time.Second)
+	l.write("n7", "x")
+	l.down["n2"] = true
+	l.run(3 * time.Second)
+	l.boot("n2", false)
+	l.run(2 * time.Second)
+	if a := l.write("n2", "y"); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+	for _, name := range l.order {
+		l.down[name] = true
+	}
+	l.mail = nil
+	l.run(time.Second)
+	back := slices.Clone(l.order)
+	slices.Reverse(back)
+	for _, name := range back {
+		l.boot(name, false)
+		l.step(name, Tick{})
+		l.run(40 * time.Millisecond)
+	}
+	l.await("all serve", 400*time.Millisecond, func() bool {
+		return !slices.ContainsFunc(l.order, func(name string) bool { return !l.serves(name) })
+	})
+	for _, name := range l.order {
+		if got := l.read(name); got != "y" {
+			t.Errorf("%s reads %q", name, got)
+		}
+	}
+}
