--- a/crux/list.go
+++ b/crux/list.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/bid"
 	"github.com/mallowbridge/mallowbridge/kin"
 	"github.com/mallowbridge/mallowbridge/rumor"
 )
@@ -19,6 +20,9 @@
 	listStride   = 8
 	// firstListAgain paces a starting node's own readings, and its rank spreads those of many that start together.
 	firstListAgain = 200 * time.Millisecond
+	firstListWait  = 150 * time.Millisecond
+	// firstListSpread is over how many milliseconds those that are no seeds spread their first reading.
+	firstListSpread = 400
 )
 
 // Roster is the platform's list as one node read it. It is told anew only when it changes.
@@ -76,9 +80,12 @@
 	n.out.List = true
 }
 
-// firstList reads the list at once after a start: until somebody has, nothing can be served.
+// firstList reads the list soon after a start: until somebody has, nothing can be served. Seeds begin, and most others hear of it.
 func (n *Node) firstList(now time.Duration) {
 	l := &n.lists
+	if !slices.Contains(n.cfg.Seeds, n.cfg.Addr) && now-n.born < firstListWait+time.Duration(bid.Rank(listDuty, n.cfg.Name)%firstListSpread)*time.Millisecond {
+		return
+	}
 	if l.asking || now-l.asked < firstListAgain+time.Duration(n.rank(listDuty))*listStep {
 		return
 	}
--- a/crux/restart_test.go
+++ b/crux/restart_test.go
@@ -41,3 +41,21 @@
 		}
 	}
 }
+
+func TestFewReadTheListWhenAllStartAtOnce(t *testing.T) {
+	l := newLab(t, 40)
+	l.list = []mallowbridge.Instance{{ID: "i1", Offer: "o"}}
+	l.run(900 * time.Millisecond)
+	sum := 0
+	for _, n := range l.lists {
+		sum += n
+	}
+	for _, name := range l.order {
+		if l.rosters[name] == nil {
+			t.Errorf("%s knows no replicas", name)
+		}
+	}
+	if sum > 20 {
+		t.Errorf("%d readings by %d nodes", sum, len(l.order))
+	}
+}
--- a/rumor/push.go
+++ b/rumor/push.go
@@ -99,3 +99,27 @@
 	}
 	return []Send{{To: from, Msg: Want{Keys: want}}}
 }
+
+func (s *Store) Tick(now time.Duration, peers []Peer) (sends []Send) {
+	if len(s.hot) > 0 && now-s.pushed >= s.cfg.Push {
+		s.pushed = now
+		sends = s.push(peers)
+	}
+	for i, every := range []time.Duration{s.cfg.DigestNear, s.cfg.DigestFar} {
+		if now-s.digested[i] < every {
+			continue
+		}
+		s.digested[i] = now
+		for _, p := range s.pick(peers, i == 0, 1) {
+			sends = append(sends, Send{To: p.Addr, Msg: Sum{Hash: s.hash, N: s.lasting}})
+		}
+	}
+	return sends
+}
+
+func (s *Store) Hurry(peers []Peer) (sends []Send) {
+	if len(s.hot) == 0 {
+		return nil
+	}
+	return s.push(peers)
+}
--- a/rumor/rumor.go
+++ b/rumor/rumor.go
@@ -227,27 +227,3 @@
 	s.rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
 	return to[:min(n, len(to))]
 }
-
-func (s *Store) Tick(now time.Duration, peers []Peer) (sends []Send) {
-	if len(s.hot) > 0 && now-s.pushed >= s.cfg.Push {
-		s.pushed = now
-		sends = s.push(peers)
-	}
-	for i, every := range []time.Duration{s.cfg.DigestNear, s.cfg.DigestFar} {
-		if now-s.digested[i] < every {
-			continue
-		}
-		s.digested[i] = now
-		for _, p := range s.pick(peers, i == 0, 1) {
-			sends = append(sends, Send{To: p.Addr, Msg: Sum{Hash: s.hash, N: s.lasting}})
-		}
-	}
-	return sends
-}
-
-func (s *Store) Hurry(peers []Peer) (sends []Send) {
-	if len(s.hot) == 0 {
-		return nil
-	}
-	return s.push(peers)
-}
