Nodes bound silence between each other, drain later, and show status and counters

Ruled out: pings to find dead connections (the kernel knows first); draining to the end of the grace (what runs then is cut). Change: TCP_USER_TIMEOUT of 1 s between nodes; requests are taken for three fifths of the grace; /v1/status and /v1/counters at the control address, the data path's counters by name.

--- a/cmd/mallowbridge/daemon.go
+++ b/cmd/mallowbridge/daemon.go
@@ -98,13 +98,7 @@
 		return crux.Vouch(h.Call(crux.Witness{Request: request, Spare: spare, Peek: peek}))
 	}, gate.Bounds(s.MaxBody, s.MaxStreams))
 	g.Front = h.Front
-	ops := &gate.Ops{C: h, G: g, Clock: hearth.Clock, Extra: func() map[string]uint64 {
-		n := &h.Net.N
-		return map[string]uint64{
-			"wire.sent": n.Sent.Load(), "wire.bytes": n.Bytes.Load(), "wire.dropped": n.Dropped.Load(),
-			"wire.unreadable": n.Unreadable.Load(), "wire.dials": n.Dials.Load(),
-		}
-	}}
+	ops := &gate.Ops{C: h, G: g, Clock: hearth.Clock, Extra: func() map[string]uint64 { return wireCounters(h) }}
 	routes := bunrouter.New()
 	ops.Routes(routes)
 	srv := &http.Server{
@@ -127,6 +121,14 @@
 	return err
 }
 
+func wireCounters(h *hearth.Hearth) (c map[string]uint64) {
+	n := &h.Net.N
+	return map[string]uint64{
+		"wire.sent": n.Sent.Load(), "wire.bytes": n.Bytes.Load(), "wire.dropped": n.Dropped.Load(),
+		"wire.unreadable": n.Unreadable.Load(), "wire.dials": n.Dials.Load(),
+	}
+}
+
 func served(err error) error {
 	if err == http.ErrServerClosed {
 		return nil
--- a/cmd/mallowbridge/main_test.go
+++ b/cmd/mallowbridge/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -30,7 +31,7 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"await": await, "awaitmatch": awaitMatch, "config": config, "signal": send,
+			"await": await, "awaitmatch": awaitMatch, "config": config, "signal": send, "nodeconfig": nodeConfig,
 		},
 	})
 }
@@ -82,3 +83,24 @@
 {"name":"dossier","firstTokenMs":8000}]}]}`
 	ts.Check(os.WriteFile(filepath.Join(ts.Getenv("WORK"), args[0]), []byte(text), 0o600))
 }
+
+// nodeConfig writes the platform's settings for one node with a disk that is its own only seed.
+func nodeConfig(ts *testscript.TestScript, _ bool, args []string) {
+	front, ready, control, inner := netip.MustParseAddrPort(args[1]), args[2], args[3], netip.MustParseAddrPort(args[4])
+	text := fmt.Sprintf(`nodeName: "n1"
+role: "node"
+serves: ["frontend", "control_plane"]
+ipAddress: %q
+zone: "a"
+region: "r"
+bindAddresses: {front: %q, readiness: %q, control: %q}
+internalPortRange: [%d, %d]
+seedNodes: [%q]
+firstStart: true
+dataDirectory: %q
+faultTolerance: {machines: 0, zones: 0, regions: 0}
+bounds: {gracePeriodS: 2}
+cloudApi: {address: %q, ratePerS: 10}
+`, front.Addr(), front, ready, control, inner.Port(), inner.Port()+1, control, filepath.Join(ts.Getenv("WORK"), "disk"), args[5])
+	ts.Check(os.WriteFile(filepath.Join(ts.Getenv("WORK"), args[0]), []byte(text), 0o600))
+}
--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +22,7 @@
 	"github.com/mallowbridge/mallowbridge/charter"
 	"github.com/mallowbridge/mallowbridge/crux"
 	"github.com/mallowbridge/mallowbridge/ferry"
+	"github.com/mallowbridge/mallowbridge/gate"
 	"github.com/mallowbridge/mallowbridge/hearth"
 	"github.com/mallowbridge/mallowbridge/platform"
 )
@@ -116,6 +118,8 @@
 	if lis := listeners["control"]; lis != nil {
 		routes := bunrouter.New()
 		platform.Routes(routes, hearth.Documents{H: h})
+		ops := &gate.Ops{C: h, Desk: h.Desk, Clock: hearth.Clock, Extra: func() map[string]uint64 { return merged(wireCounters(h), p.N.Map()) }}
+		ops.Watch(routes)
 		serveOps(t, lis, routes)
 	}
 	lg.Info().Str("zone", s.Zone).Bool("first", s.FirstStart).Msg("started")
@@ -123,6 +127,14 @@
 	return err
 }
 
+func merged(all ...map[string]uint64) (one map[string]uint64) {
+	one = map[string]uint64{}
+	for _, c := range all {
+		maps.Copy(one, c)
+	}
+	return one
+}
+
 func listenAll(s platform.Settings) (listeners map[string]net.Listener, err error) {
 	listeners = map[string]net.Listener{}
 	for name, addr := range map[string]string{"front": s.Front, "readiness": s.Readiness, "control": s.Control} {
@@ -214,7 +226,7 @@
 func drainNode(h *hearth.Hearth, p *ferry.Proxy, grace time.Duration) {
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
-	end, leave := time.After(grace-grace/10), time.After(grace*2/5)
+	end, leave := time.After(grace-grace/10), time.After(grace*3/5)
 	left := false
 	for {
 		select {
--- /dev/null
+++ b/ferry/map.go
@@ -0,0 +1,20 @@
+package ferry
+
+import (
+	"reflect"
+	"strings"
+	"sync/atomic"
+)
+
+// Map gives each counter by its name, "ferry.requests" and so on.
+func (n *Counters) Map() (c map[string]uint64) {
+	c = map[string]uint64{}
+	v := reflect.ValueOf(n).Elem()
+	for i := range v.NumField() {
+		if count, ok := v.Field(i).Addr().Interface().(*atomic.Uint64); ok {
+			name := v.Type().Field(i).Name
+			c["ferry."+strings.ToLower(name[:1])+name[1:]] = count.Load()
+		}
+	}
+	return c
+}
--- a/gate/health.go
+++ b/gate/health.go
@@ -33,11 +33,12 @@
 
 func (o *Ops) counters(w http.ResponseWriter, r bunrouter.Request) error {
 	c := map[string]uint64{}
-	g := &o.G.N
-	c["gate.requests"], c["gate.denied"], c["gate.repeats"] = g.Requests.Load(), g.Denied.Load(), g.Repeats.Load()
-	c["gate.done"], c["gate.partial"], c["gate.unknown"] = g.Done.Load(), g.Partial.Load(), g.Unknown.Load()
-	c["gate.bad"], c["gate.hangups"], c["gate.breaks"] = g.Bad.Load(), g.Hangups.Load(), g.Breaks.Load()
-	o.G.desk.Look(func(r *mallowbridge.Router) { count(c, r) })
+	desk := o.Desk
+	if o.G != nil {
+		o.G.count(c)
+		desk = o.G.desk
+	}
+	desk.Look(func(r *mallowbridge.Router) { count(c, r) })
 	if o.Extra != nil {
 		for k, v := range o.Extra() {
 			c[k] = v
@@ -46,6 +47,13 @@
 	return reply(w, http.StatusOK, c)
 }
 
+func (g *Gate) count(c map[string]uint64) {
+	n := &g.N
+	c["gate.requests"], c["gate.denied"], c["gate.repeats"] = n.Requests.Load(), n.Denied.Load(), n.Repeats.Load()
+	c["gate.done"], c["gate.partial"], c["gate.unknown"] = n.Done.Load(), n.Partial.Load(), n.Unknown.Load()
+	c["gate.bad"], c["gate.hangups"], c["gate.breaks"] = n.Bad.Load(), n.Hangups.Load(), n.Breaks.Load()
+}
+
 func count(c map[string]uint64, r *mallowbridge.Router) {
 	m := r.Counters()
 	h, t := r.Hints()
--- a/gate/ops.go
+++ b/gate/ops.go
@@ -11,6 +11,7 @@
 
 	"github.com/uptrace/bunrouter"
 
+	"github.com/mallowbridge/mallowbridge"
 	"github.com/mallowbridge/mallowbridge/charter"
 	"github.com/mallowbridge/mallowbridge/crux"
 	"github.com/mallowbridge/mallowbridge/pact"
@@ -24,6 +25,7 @@
 type Ops struct {
 	C     Control
 	G     *Gate
+	Desk  *mallowbridge.Desk
 	Clock func() time.Duration
 	Extra func() (counters map[string]uint64)
 }
@@ -47,8 +49,7 @@
 	r.POST("/v1/offers/:offer/:kind", o.G.Handler())
 	r.GET("/healthz", o.health)
 	r.GET("/readyz", o.readiness)
-	r.GET("/v1/status", o.status)
-	r.GET("/v1/counters", o.counters)
+	o.Watch(r)
 	r.GET("/v1/config", o.get)
 	r.PUT("/v1/config", o.put)
 	r.POST("/v1/domains/:domain/empty", o.domain(false))
@@ -58,6 +59,12 @@
 	r.POST("/v1/replicas", o.replicas)
 }
 
+// Watch adds what an operator looks at: the node's status and its counters.
+func (o *Ops) Watch(r *bunrouter.Router) {
+	r.GET("/v1/status", o.status)
+	r.GET("/v1/counters", o.counters)
+}
+
 func reply(w http.ResponseWriter, status int, v any) (err error) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
--- a/wire/net.go
+++ b/wire/net.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
 )
 
@@ -13,6 +15,7 @@
 	queued     = 512
 	dialFor    = 200 * time.Millisecond
 	writeFor   = 2 * time.Second
+	silentFor  = time.Second
 	redialMin  = 50 * time.Millisecond
 	idleLimit  = 30 * time.Second
 	maxInbound = 1024
@@ -130,7 +133,8 @@
 
 func (n *Net) dial(addr string) (conn net.Conn, w *Writer, err error) {
 	n.N.Dials.Add(1)
-	conn, err = net.DialTimeout("tcp", addr, dialFor)
+	d := net.Dialer{Timeout: dialFor, Control: unacknowledged}
+	conn, err = d.Dial("tcp", addr)
 	if err != nil {
 		return nil, nil, trace.ConvertSystemError(err)
 	}
@@ -145,6 +149,18 @@
 	return conn, w, nil
 }
 
+// unacknowledged bounds how long sent bytes may stay unacknowledged. A connection to a machine that lost power, or is cut off, would
+// else live on, and when the machine is back take messages until TCP sends anew, which may be seconds later.
+func unacknowledged(_, _ string, raw syscall.RawConn) (err error) {
+	ctlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentFor.Milliseconds()))
+	})
+	if err == nil {
+		err = ctlErr
+	}
+	return err
+}
+
 func (n *Net) drain(conn net.Conn) {
 	var b [1]byte
 	_, _ = conn.Read(b[:])
