Longer prompts count whole, large fleets tell less, placement flag, refusals without a known replica

Cause: a long prompt that is being read delays a short one as well, ranks or not; at 88 nodes news of each prompt from 4,000 tokens on cost 43 % more processor time; batching replicas inferred no evictions; a request with no replica known was told to come back in 50 ms and refused again.

--- a/bid/choose.go
+++ b/bid/choose.go
@@ -80,6 +80,8 @@
 	return c, any
 }
 
+func (m *Market) RoundRobin() { m.cfg.RoundRobin = true }
+
 func (m *Market) next(now time.Duration, a *Ask, o *Offer) (c choice, any bool) {
 	c = choice{rep: -1}
 	for i := range o.Reps {
--- a/bid/market.go
+++ b/bid/market.go
@@ -16,8 +16,9 @@
 	Home       float64
 	Doubt      float64
 	Kept       float64
-	// Told is the least number of unread tokens of a prompt that other routers are told of.
-	Told int
+	// Told is the least number of unread tokens of a prompt that other routers are told of; ToldEach is the same for each router, so
+	// that large fleets tell less.
+	Told, ToldEach int
 	// Reread is the cost of reading 1000 shared tokens again, Cross of passing a request to another domain and CrossToken for 1000
 	// tokens of it, all in late first events.
 	Reread, Cross, CrossToken float64
@@ -26,7 +27,7 @@
 }
 
 func Defaults(self, domain string) (c Config) {
-	return Config{Self: self, Domain: domain, Backlog: 256, Feed: time.Second, Silence: 8 * time.Second, PredWeight: 0.7, Home: 4, Doubt: 1.2, Kept: 2, Told: 4000, Reread: 0.3, Cross: 0.04, CrossToken: 0.01, Index: hint.Defaults()}
+	return Config{Self: self, Domain: domain, Backlog: 256, Feed: time.Second, Silence: 8 * time.Second, PredWeight: 0.7, Home: 4, Doubt: 1.2, Kept: 2, Told: 4000, ToldEach: 150, Reread: 0.3, Cross: 0.04, CrossToken: 0.01, Index: hint.Defaults()}
 }
 
 const firstHold = 500 * time.Millisecond
--- a/bid/prefill.go
+++ b/bid/prefill.go
@@ -25,8 +25,6 @@
 	leastRank = 750
 	// squared is the length at which attention makes a token twice as dear to read.
 	squared = 110000
-	// unfinished is the part of a prompt read in the meantime that still delays a shorter one.
-	unfinished = 0.3
 )
 
 // rank makes replicas read short prompts first: each rank holds prompts twice as long as the one before.
@@ -63,13 +61,9 @@
 	p.queue = slices.DeleteFunc(p.queue, func(f prefill) bool { return f.attempt == attempt })
 }
 
-// ahead is what the replica reads before a new prompt of that rank.
-func (p *prefills) ahead(rank int) (tokens float64) {
+// unread counts longer prompts as well: one that is being read is not put off by a shorter one.
+func (p *prefills) unread() (tokens float64) {
 	for _, f := range p.queue {
-		if f.rank > rank {
-			tokens += unfinished * f.tokens
-			continue
-		}
 		tokens += f.tokens
 	}
 	return tokens
@@ -89,7 +83,7 @@
 	pace := m.pace(rep)
 	r.prefills.drain(now, pace)
 	tokens := m.unread(a, conf, pred)
-	reading := (r.prefills.ahead(rank(tokens)) + work(tokens)) * pace * (1 + m.fullness(now, rep))
+	reading := (r.prefills.unread() + work(tokens)) * pace * (1 + m.fullness(now, rep))
 	return m.Offers[r.Offer].Base + time.Duration(reading)
 }
 
@@ -110,7 +104,14 @@
 // paced learns from the first events of prompts that nothing known was ahead of; a step at a time, so that outliers weigh no more.
 func (m *Market) paced(a *Ask, r *Replica, took time.Duration) {
 	o := &m.Offers[a.Offer]
-	if !a.Alone || m.unread(a, a.Conf, a.Pred) < 2*leastRank {
+	if !a.Alone {
+		return
+	}
+	if m.evicted(a, took) {
+		m.Index.Evicted(m.keeper(a), a.Parts)
+		return
+	}
+	if m.unread(a, a.Conf, a.Pred) < 2*leastRank {
 		return
 	}
 	step := paceStep
@@ -122,6 +123,16 @@
 	r.factor = min(max(r.factor*step, 0.7), 2)
 }
 
+// evicted tells that parts counted on as kept were read again: the answer took as long as without them.
+func (m *Market) evicted(a *Ask, took time.Duration) (yes bool) {
+	if a.Conf < 2*leastRank || a.Pred > 0 {
+		return false
+	}
+	whole := time.Duration(work(m.unread(a, 0, 0)) * m.pace(a.Rep))
+	reading := took - m.Offers[a.Offer].Base
+	return a.Est-m.Offers[a.Offer].Base < whole/2 && reading > whole*4/5 && took > a.Est*3/2
+}
+
 // cost is in units of a late first event.
 func (m *Market) cost(now time.Duration, a *Ask, c choice, home bool) (cost float64) {
 	r, o := &m.Reps[c.rep], &m.Offers[a.Offer]
@@ -148,7 +159,7 @@
 // telling is how many unread tokens other routers should know of; 0: none.
 func (m *Market) telling(a *Ask) (tokens int) {
 	tokens = int(m.unread(a, a.Conf, a.Pred))
-	if m.cfg.Told == 0 || !m.Offers[a.Offer].Batches || tokens < m.cfg.Told {
+	if !m.Offers[a.Offer].Batches || tokens < max(m.cfg.Told, m.cfg.ToldEach*len(m.routers)) {
 		return 0
 	}
 	return tokens
--- a/bid/route.go
+++ b/bid/route.go
@@ -9,6 +9,8 @@
 	leastAfter = 50 * time.Millisecond
 	poll       = 10 * time.Millisecond
 	coarse     = 250 * time.Millisecond
+	// recovery is when to come back where nothing is known of when there will be room.
+	recovery = time.Second
 )
 
 // admit places a routed request, keeps it waiting, or denies it within a quarter of its aim.
@@ -29,7 +31,7 @@
 			return false
 		}
 	}
-	start, cold := m.start(now, a, ahead, capacity)
+	start, cold, open := m.start(now, a, ahead, capacity)
 	until := m.patience(a, k)
 	if cold {
 		until = max(until, a.At+(a.Deadline-a.At)/2)
@@ -41,7 +43,11 @@
 		m.place(now, id, a, c)
 		return false
 	}
-	m.deny(now, id, "no replica has room", min(start-now, time.Second))
+	if !open {
+		m.deny(now, id, "no replica is known", recovery)
+		return false
+	}
+	m.deny(now, id, "no replica has room", min(start-now, recovery))
 	return false
 }
 
@@ -53,11 +59,10 @@
 	return min(a.At+k.Bound/5, a.Deadline)
 }
 
-// start is when the request is expected to leave, and whether only a cold replica's rate holds it back.
-func (m *Market) start(now time.Duration, a *Ask, ahead, capacity int) (at time.Duration, cold bool) {
+// start is when the request is expected to leave, whether only a cold replica's rate holds it back, and whether any replica is open.
+func (m *Market) start(now time.Duration, a *Ask, ahead, capacity int) (at time.Duration, cold, open bool) {
 	o := &m.Offers[a.Offer]
 	at = time.Duration(math.MaxInt64)
-	open := false
 	for _, id := range o.Reps {
 		r := &m.Reps[id]
 		if !r.open() {
@@ -79,9 +84,9 @@
 		}
 	}
 	if !open {
-		return now, false
+		return now, false, false
 	}
-	return at, cold
+	return at, cold, true
 }
 
 // overflow finds a queueing replica that takes the request into its own queue, or one that is merely held to be in trouble.
--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -30,12 +30,14 @@
 func nodes(app *kingpin.Application, cmds map[string]command) {
 	c := app.Command("node", "Run a node on the users' platform: its settings come from a YAML file.")
 	file := c.Flag("settings", "Settings file.").Short('s').Envar(platform.SettingsVariable).Required().String()
+	way := c.Flag("placement", "How replicas are chosen: index; blind (by load, the index off) and round-robin are for comparisons.").
+		Default(byIndex).Enum(byIndex, blind, roundRobin)
 	cmds["node"] = func(_ io.Reader, _ io.Writer) error {
 		s, err := platform.ReadSettings(*file)
 		if err != nil {
 			return err
 		}
-		return runNode(*file, s)
+		return runNode(*file, s, *way)
 	}
 }
 
@@ -83,7 +85,7 @@
 	}
 }
 
-func runNode(file string, s platform.Settings) (err error) {
+func runNode(file string, s platform.Settings, way string) (err error) {
 	if mb := s.Machine.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(mb) << 20 * 7 / 10)
 	}
@@ -99,6 +101,7 @@
 		t.Kill(nil)
 		return err
 	}
+	h.Desk.Look(func(r *mallowbridge.Router) { placement(r, way) })
 	limits := &atomic.Pointer[charter.Limits]{}
 	limits.Store(&charter.Limits{})
 	h.OnPicture(func(p *charter.Picture) { limits.Store(&p.Charter.Limits) })
--- a/route_test.go
+++ b/route_test.go
@@ -208,3 +208,16 @@
 		}
 	}
 }
+
+func TestRoundRobinTakesReplicasInTurn(t *testing.T) {
+	r := routed(routes(1, route("k", "/", all("a"))), row("i1", "a"), row("i2", "a"))
+	r.RoundRobin()
+	at := map[string]int{}
+	for i := range 4 {
+		ds := r.Step(settled, mallowbridge.Arrive{Request: fmt.Sprint("q", i), Host: "h.example", Path: "/x", Prefix: "ab:3000,cd:9", Tokens: 3100})
+		at[one(t, ds, mallowbridge.Place).Replica]++
+	}
+	if at["i1"] != 2 || at["i2"] != 2 {
+		t.Error(at)
+	}
+}
--- a/router.go
+++ b/router.go
@@ -108,6 +108,9 @@
 
 func (r *Router) IndexOff() { r.m.Index.Off = true }
 
+// RoundRobin places requests in turn wherever there is room, for comparisons.
+func (r *Router) RoundRobin() { r.m.RoundRobin() }
+
 func (r *Router) Step(now time.Duration, ev Event) (out []Decision) {
 	switch e := ev.(type) {
 	case Arrive:
