--- a/ferry/answer.go
+++ b/ferry/answer.go
@@ -1,11 +1,11 @@
 package ferry
 
 import (
+	"errors"
 	"io"
-	"mime"
 	"net/http"
+	"os"
 	"strconv"
-	"time"
 
 	"github.com/mallowbridge/mallowbridge"
 )
@@ -13,19 +13,20 @@
 func (x *transfer) replied(resp *http.Response) (s Replied) {
 	h, place := &x.p.headers, &x.ex.Place
 	s.Status = resp.StatusCode
-	if id := x.attempt(); id != "" && resp.Header.Get(h.Attempt) != id {
+	s.Open = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	if id := x.attempt(); id != "" && first(resp.Header, h.Attempt) != id {
 		x.p.N.Surplus.Add(1)
 		s.Foreign = true
 		return s
 	}
 	s.NotRun = h.NotRun != "" && resp.Header[h.NotRun] != nil
-	s.Open = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 	s.Bare = h.Seal != "" && resp.Header[h.Seal] == nil
 	if h.Instance != "" {
-		s.Instance = resp.Header.Get(h.Instance)
+		s.Instance = first(resp.Header, h.Instance)
 	}
-	s.Stream = place.Route != nil && place.Route.Streaming && eventStream(resp)
-	if v := resp.Header.Get(h.Load); v != "" && h.ParseLoad != nil {
+	s.Stream = place.Route != nil && place.Route.Streaming && isEventStream(resp)
+	x.stream = s.Stream
+	if v := first(resp.Header, h.Load); v != "" && h.ParseLoad != nil {
 		if running, waiting, slots, ok := h.ParseLoad(v); ok {
 			s.Load = &mallowbridge.Load{Replica: place.Replica, Running: running, Waiting: waiting, Slots: slots}
 		}
@@ -49,83 +50,38 @@
 		x.drop()
 		return
 	}
-	c.until = time.Now().Add(c.rest(x.resp.Header, x.p.set))
+	c.setIdle(x.resp.Header, x.p.set)
 	x.park()
 }
 
 const drained = 64 << 10
 
-func (x *transfer) drain() {
+// discard reads over an answer that nobody gets, as long as it is not too long.
+func (x *transfer) discard() (ok bool) {
 	n, err := io.Copy(io.Discard, io.LimitReader(x.resp.Body, drained))
-	if err != nil || n == drained {
-		x.drop()
-	} else {
-		x.settle()
-	}
-	x.happened(Ended{})
-}
-
-func eventStream(resp *http.Response) (yes bool) {
-	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream" && resp.StatusCode == http.StatusOK
+	return err == nil && n < drained
 }
 
-func (x *transfer) pass() {
-	if route := x.ex.Place.Route; route != nil && route.Streaming && eventStream(x.resp) {
-		x.passStream()
-		return
-	}
-	x.passWhole()
-}
-
-// passWhole holds an answer back until it is whole, so that a broken one may be asked for again; only a very long one goes on at once.
-func (x *transfer) passWhole() {
-	buf := make([]byte, 0, min(max(int(x.resp.ContentLength)+1, 512), x.p.set.Hold))
-	for {
-		if len(buf) == cap(buf) {
-			if len(buf) >= x.p.set.Hold {
-				x.passLong(buf)
-				return
-			}
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, err := x.resp.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			x.lost(err)
-			return
-		}
+func (x *transfer) drain() {
+	if x.discard() {
+		x.settle()
+	} else {
+		x.drop()
 	}
-	x.settle()
 	x.happened(Ended{})
-	x.head()
-	_, _ = x.w.Write(buf)
 }
 
-func (x *transfer) passLong(held []byte) {
-	x.happened(Begun{})
-	x.head()
-	_, err := x.w.Write(held)
-	buf := held[:cap(held)]
-	for err == nil {
-		n, readErr := x.resp.Body.Read(buf)
-		if n > 0 {
-			_, err = x.w.Write(buf[:n])
-		}
-		if readErr == io.EOF && err == nil {
-			x.settle()
-			x.happened(Ended{})
-			return
-		}
-		if readErr != nil && readErr != io.EOF {
-			x.lost(readErr)
-			return
-		}
+// lost tells why a connection failed after the request was written to it.
+func (x *transfer) lost(err error) {
+	switch {
+	case x.r.Context().Err() != nil:
+		x.happened(HungUp{})
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.happened(Overdue{})
+	default:
+		x.drop()
+		x.happened(Lost{})
 	}
-	x.happened(HungUp{})
 }
 
 func (x *transfer) head() {
@@ -134,59 +90,10 @@
 	}
 	x.headed = true
 	copyHead(x.w.Header(), x.resp.Header)
-	x.p.retire(x.w)
+	x.connection()
 	x.w.WriteHeader(x.resp.StatusCode)
 }
 
-const streamBuffer = 4 << 10
-
-func (x *transfer) passStream() {
-	if x.headed {
-		x.p.N.Resumed.Add(1)
-		x.events.Resume()
-	}
-	ctl := http.NewResponseController(x.w)
-	buf := make([]byte, streamBuffer)
-	for begun := false; ; {
-		n, readErr := x.resp.Body.Read(buf)
-		whole, err := x.events.Feed(buf[:n])
-		if err != nil {
-			x.lost(err)
-			return
-		}
-		ended := readErr == io.EOF
-		if ended {
-			whole = append(whole[:len(whole):len(whole)], x.events.Rest()...)
-		}
-		if len(whole) > 0 {
-			if !begun {
-				begun = true
-				x.happened(Begun{})
-			}
-			x.head()
-			x.ex.Stuck = x.events.Plain || x.w.Header().Get("Content-Length") != ""
-			_, err = x.w.Write(whole)
-			if err == nil && !ended {
-				err = ctl.Flush()
-			}
-			if err != nil {
-				x.happened(HungUp{})
-				return
-			}
-		}
-		if ended {
-			x.head()
-			x.settle()
-			x.happened(Ended{})
-			return
-		}
-		if readErr != nil {
-			x.lost(readErr)
-			return
-		}
-	}
-}
-
 var outcomes = map[Outcome]struct {
 	name   string
 	status int
@@ -209,9 +116,6 @@
 		panic(http.ErrAbortHandler)
 	case Denied:
 		n.Denied.Add(1)
-		if m.After > 0 {
-			x.w.Header().Set("Retry-After", strconv.FormatFloat(m.After.Seconds(), 'f', -1, 64))
-		}
 	case NotFound:
 		n.NotFound.Add(1)
 	case Unknown:
@@ -219,6 +123,9 @@
 	case Expired:
 		n.Expired.Add(1)
 	}
+	if m.After > 0 {
+		x.w.Header().Set("Retry-After", strconv.FormatFloat(m.After.Seconds(), 'f', -1, 64))
+	}
 	o := outcomes[m.Outcome]
-	x.p.say(x.w, o.status, o.name, m.Why)
+	x.say(o.status, o.name, m.Why)
 }
--- /dev/null
+++ b/ferry/body.go
@@ -0,0 +1,143 @@
+package ferry
+
+import (
+	"bytes"
+	"cmp"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// FullError says that the bodies and answers of other requests hold all the room there is.
+type FullError struct{ Held int64 }
+
+func (e *FullError) Error() (text string) {
+	return "the " + strconv.FormatInt(e.Held, 10) + " bytes of other requests leave no room"
+}
+
+func (x *transfer) mostBody() (n int64) {
+	if n = int64(x.p.limits().BodyBytes); n > 0 {
+		return n
+	}
+	return int64(x.p.set.BodyBytes)
+}
+
+// readBody reads the request's body whole; a client that stops sending, or sends for too long, is waited for no longer.
+func (x *transfer) readBody() (err error) {
+	if !x.share.take(requestBytes) {
+		return trace.Wrap(&FullError{Held: x.p.budget.Held()})
+	}
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	most := x.mostBody()
+	if x.r.ContentLength > most {
+		return &http.MaxBytesError{Limit: most}
+	}
+	defer func() {
+		if err == nil {
+			x.readUntil(time.Time{})
+		}
+	}()
+	if x.r.ContentLength < 0 {
+		return x.readChunked(most)
+	}
+	return x.readSized()
+}
+
+// uploadLimit is when more of the body must have come.
+func (x *transfer) uploadLimit() (at time.Time) {
+	at = time.Now().Add(cmp.Or(x.p.limits().Header, ownHeader))
+	end := x.arrived.Add(x.p.set.Upload)
+	if !x.deadline.IsZero() && x.deadline.Before(end) {
+		end = x.deadline
+	}
+	if end.Before(at) {
+		at = end
+	}
+	return at
+}
+
+func (x *transfer) readUntil(at time.Time) {
+	if x.client != nil {
+		_ = x.client.SetReadDeadline(at)
+	} else {
+		_ = http.NewResponseController(x.w).SetReadDeadline(at)
+	}
+}
+
+func (x *transfer) readSized() (err error) {
+	size := int(x.r.ContentLength)
+	if !x.share.take(size) {
+		return trace.Wrap(&FullError{Held: x.p.budget.Held()})
+	}
+	body := make([]byte, size)
+	for got := 0; got < size; {
+		x.readUntil(x.uploadLimit())
+		n, err := x.r.Body.Read(body[got:])
+		if got += n; err != nil && got < size {
+			return err
+		}
+	}
+	x.body = body
+	return nil
+}
+
+func (x *transfer) readChunked(most int64) (err error) {
+	var body bytes.Buffer
+	in := http.MaxBytesReader(x.w, x.r.Body, most)
+	for err == nil {
+		if before := body.Cap(); body.Available() < bytes.MinRead {
+			body.Grow(max(bytes.MinRead, before))
+			if !x.share.take(body.Cap() - before) {
+				return trace.Wrap(&FullError{Held: x.p.budget.Held()})
+			}
+		}
+		x.readUntil(x.uploadLimit())
+		var n int
+		room := body.AvailableBuffer()
+		n, err = in.Read(room[:cap(room)])
+		body.Write(room[:n])
+	}
+	if err != io.EOF {
+		return err
+	}
+	x.body = body.Bytes()
+	return nil
+}
+
+// refuse answers a request whose body could not be taken; it did not run. The answer does not wait for the rest of the body: net/http
+// reads on before it replies where the connection is to be kept, and for a while after it has replied where not.
+func (x *transfer) refuse(err error) {
+	x.w.Header().Set("Connection", "close")
+	x.readUntil(time.Now().Add(afterRefusal))
+	var long *http.MaxBytesError
+	var full *FullError
+	status := http.StatusBadRequest
+	switch {
+	case errors.As(err, &full):
+		x.p.N.Full.Add(1)
+		x.w.Header().Set("Retry-After", fullAfter)
+		x.say(http.StatusServiceUnavailable, "denied", err.Error())
+		return
+	case errors.As(err, &long):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = http.StatusRequestTimeout
+	}
+	x.p.N.Bad.Add(1)
+	x.say(status, "bad", err.Error())
+}
+
+const (
+	// requestBytes is counted for each request besides its body: connections, goroutines, headers.
+	requestBytes = 8 << 10
+	fullAfter    = "0.25"
+	// afterRefusal is how long the rest of a refused body is read, so that a reset does not overtake the answer.
+	afterRefusal = time.Second
+)
--- /dev/null
+++ b/ferry/client.go
@@ -0,0 +1,216 @@
+package ferry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// What a client's connection is doing. Only an idle one may be shut, and only before a byte of the next request was read.
+const (
+	stateNew int32 = iota
+	stateIdle
+	stateActive
+	stateClosing
+	stateClosed
+)
+
+// client is the connection of a client: writes fail once nothing moves for the stall time, however long they take as a whole.
+type client struct {
+	*net.TCPConn
+	p *Proxy
+	// keep is the value of Keep-Alive that fits how long the connection may be idle, if any.
+	keep  []string
+	state atomic.Int32
+	// until is the deadline for reads that net/http asked for, since boot; 0: none.
+	until atomic.Int64
+	ended atomic.Bool
+	// limit is the deadline in force for writes, hard one that holds even while bytes move.
+	limit, hard time.Time
+}
+
+var longAgo = time.Unix(1, 0)
+
+func (c *client) Read(b []byte) (n int, err error) {
+	n, err = c.TCPConn.Read(b)
+	if n > 0 && c.state.Load() != stateActive {
+		c.activate()
+	}
+	return n, err
+}
+
+// activate notes that a byte of a request was read: from now on the request is served, also when the connection was just being shut.
+func (c *client) activate() {
+	for {
+		switch c.state.Load() {
+		case stateActive:
+			return
+		case stateNew:
+			c.begin(stateNew)
+		case stateIdle:
+			c.begin(stateIdle)
+		case stateClosing:
+			runtime.Gosched()
+		case stateClosed:
+			c.begin(stateClosed)
+			_ = c.TCPConn.SetReadDeadline(c.intended())
+		}
+	}
+}
+
+func (c *client) begin(from int32) {
+	if c.state.CompareAndSwap(from, stateActive) {
+		c.p.active.Add(1)
+	}
+}
+
+func (c *client) deactivate() {
+	if c.state.CompareAndSwap(stateActive, stateIdle) {
+		c.p.active.Add(-1)
+	}
+}
+
+var boot = time.Now()
+
+func (c *client) intended() (t time.Time) {
+	if at := c.until.Load(); at != 0 {
+		t = boot.Add(time.Duration(at))
+	}
+	return t
+}
+
+func (c *client) SetReadDeadline(t time.Time) (err error) {
+	at := int64(0)
+	if !t.IsZero() {
+		at = int64(t.Sub(boot))
+	}
+	c.until.Store(at)
+	err = c.TCPConn.SetReadDeadline(t)
+	if s := c.state.Load(); s == stateClosing || s == stateClosed {
+		err = c.TCPConn.SetReadDeadline(longAgo)
+	}
+	if c.p.closing.Load() {
+		c.shut()
+	}
+	return err
+}
+
+// shut ends the wait for the next request. Bytes that come at the same moment stay unread, so the client learns that it may send again.
+func (c *client) shut() {
+	if c.state.CompareAndSwap(stateIdle, stateClosing) {
+		_ = c.TCPConn.SetReadDeadline(longAgo)
+		c.state.Store(stateClosed)
+	}
+}
+
+func (c *client) SetWriteDeadline(t time.Time) (err error) {
+	c.hard, c.limit = t, time.Time{}
+	return nil
+}
+
+// renewal saves most settings of a deadline: one that is only a tenth nearer than a new one stays.
+const renewal = 10
+
+// quietWindows is for how many stall times in a row nothing may move before a write fails.
+const quietWindows = 2
+
+func (c *client) Write(b []byte) (n int, err error) {
+	for quiet, held := 0, 0; ; {
+		now := time.Now()
+		if c.limit.Sub(now) < c.p.set.Stall-c.p.set.Stall/renewal {
+			c.limit = now.Add(c.p.set.Stall)
+			if !c.hard.IsZero() && c.hard.Before(c.limit) {
+				c.limit = c.hard
+			}
+			_ = c.TCPConn.SetWriteDeadline(c.limit)
+		}
+		m, err := c.TCPConn.Write(b[n:])
+		n += m
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || (!c.hard.IsZero() && !time.Now().Before(c.hard)) {
+			return n, err
+		}
+		was := held
+		if held = c.unsent(); m > 0 || held < was {
+			quiet = 0
+		} else if quiet++; quiet == quietWindows {
+			return n, err
+		}
+	}
+}
+
+// unsent is how much the kernel still holds for the client; 0 where it does not tell.
+func (c *client) unsent() (n int) {
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return n
+}
+
+func (c *client) Close() (err error) {
+	if c.ended.CompareAndSwap(false, true) {
+		if c.state.Swap(stateClosed) == stateActive {
+			c.p.active.Add(-1)
+		}
+		all := <-c.p.clients
+		delete(all, c)
+		c.p.clients <- all
+	}
+	return c.TCPConn.Close()
+}
+
+// admit takes a client's connection in.
+func (p *Proxy) admit(nc net.Conn, keep []string) (c net.Conn) {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return nc
+	}
+	own := &client{TCPConn: tcp, p: p, keep: keep}
+	all := <-p.clients
+	all[own] = struct{}{}
+	p.clients <- all
+	return own
+}
+
+type clientKey struct{}
+
+func withClient(ctx context.Context, nc net.Conn) (with context.Context) {
+	return context.WithValue(ctx, clientKey{}, nc)
+}
+
+// clientOf gives nothing where requests did not come by Serve.
+func clientOf(r *http.Request) (c *client) {
+	c, _ = r.Context().Value(clientKey{}).(*client)
+	return c
+}
+
+func connState(nc net.Conn, s http.ConnState) {
+	if c, ok := nc.(*client); ok && s == http.StateIdle {
+		c.deactivate()
+	}
+}
+
+// Retire lets clients take their next requests elsewhere; who comes all the same is still served. Connections on which nothing
+// comes are shut after the linger time, those in use as they fall idle.
+func (p *Proxy) Retire() {
+	p.retired.Store(true)
+	time.AfterFunc(p.set.Linger, func() {
+		p.closing.Store(true)
+		all := <-p.clients
+		for c := range all {
+			c.shut()
+		}
+		p.clients <- all
+	})
+}
+
+// Running is how many requests are being read, served or written.
+func (p *Proxy) Running() (n int) { return int(max(p.running.Load(), p.active.Load())) }
--- a/ferry/conn.go
+++ b/ferry/conn.go
@@ -34,9 +34,11 @@
 	r       *bufio.Reader
 	attempt string
 	used    bool
-	until   time.Time
-	quiet   bool
-	look    func(fd uintptr)
+	// until is when the connection is too old to be used, sure when it is for requests that may not be repeated.
+	until, sure time.Time
+	unacked     time.Duration
+	quiet       bool
+	look        func(fd uintptr)
 }
 
 const (
@@ -44,8 +46,8 @@
 	maxEarly = 8
 )
 
-func newConn(nc net.Conn, k key) (c *conn, err error) {
-	c = &conn{nc: nc, key: k, src: io.LimitedReader{R: nc, N: noBound}}
+func newConn(nc net.Conn, k key, unacked time.Duration) (c *conn, err error) {
+	c = &conn{nc: nc, key: k, src: io.LimitedReader{R: nc, N: noBound}, unacked: unacked}
 	c.r = bufio.NewReaderSize(&c.src, 4096)
 	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
 		return nil, trace.ConvertSystemError(err)
@@ -58,26 +60,42 @@
 	return c, nil
 }
 
-// fresh tells whether the connection is neither closed nor holds bytes that nobody asked for.
-func (c *conn) fresh() (yes bool) {
-	if c.r.Buffered() > 0 || !time.Now().Before(c.until) {
+// alive tells whether the connection is neither closed nor holds bytes that nobody asked for.
+func (c *conn) alive() (yes bool) {
+	if c.r.Buffered() > 0 {
 		return false
 	}
 	c.quiet = false
 	return c.raw.Control(c.look) == nil && c.quiet
 }
 
+// setUserTimeout lets a request that is longer than the window wait unsent for d. TCP_USER_TIMEOUT, which is to end connections to machines
+// that are gone, also ends those to a live replica that does not read on.
+func (c *conn) setUserTimeout(d time.Duration) {
+	if d == c.unacked {
+		return
+	}
+	c.unacked = d
+	_ = c.raw.Control(func(fd uintptr) { _ = setUserTimeout(fd, d) })
+}
+
+func setUserTimeout(fd uintptr, d time.Duration) (err error) {
+	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
 const joined = 64 << 10
 
-func (c *conn) write(head, body []byte) (err error) {
+// write sends the request; head has room after it for what is not long.
+func (c *conn) write(head *buffer, body []byte) (n int, err error) {
 	c.used = true
 	if len(body) <= joined {
-		_, err = c.nc.Write(append(head, body...))
-	} else {
-		bs := net.Buffers{head, body}
-		_, err = bs.WriteTo(c.nc)
+		head.b = append(head.b, body...)
+		n, err = c.nc.Write(head.b)
+		return n, trace.Wrap(err)
 	}
-	return trace.Wrap(err)
+	bs := net.Buffers{head.b, body}
+	n64, err := bs.WriteTo(c.nc)
+	return int(n64), trace.Wrap(err)
 }
 
 func (c *conn) read(r *http.Request, headBytes int) (resp *http.Response, err error) {
@@ -98,15 +116,18 @@
 	return nil, trace.Wrap(&AnswerError{Cause: &StatusError{Status: resp.StatusCode}})
 }
 
-// rest is how long the connection may be kept idle after the answer.
-func (c *conn) rest(h http.Header, set Settings) (d time.Duration) {
+// setIdle says how long the connection may be idle after the answer. A replica that names no whole second may close it sooner than one.
+func (c *conn) setIdle(h http.Header, set Settings) {
+	idle, sure := set.Idle, set.IdleNonRepeatable
 	for _, v := range h["Keep-Alive"] {
 		for part := range strings.SplitSeq(v, ",") {
 			name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 			if secs, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-				return time.Duration(secs)*time.Second*4/5 - set.IdleMargin
+				told := time.Duration(secs) * time.Second
+				idle, sure = told*4/5-set.IdleMargin, told/2
 			}
 		}
 	}
-	return set.Idle
+	now := time.Now()
+	c.until, c.sure = now.Add(idle), now.Add(min(idle, sure))
 }
--- a/ferry/exchange.go
+++ b/ferry/exchange.go
@@ -1,11 +1,22 @@
 package ferry
 
 import (
-	"cmp"
-	"net/http"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/charter"
+)
+
+// phase is how far the attempt under way has come.
+type phase uint8
+
+const (
+	none phase = iota
+	connecting
+	connected
+	written
+	passing
+	draining
 )
 
 // Exchange takes one request through: decisions and signals go in, moves come out.
@@ -13,32 +24,57 @@
 	Request string
 	Place   mallowbridge.Decision
 	// Stuck tells that what was passed on cannot be taken up at another replica.
-	Stuck   bool
-	open    bool
-	sent    bool
-	refused bool
-	began   bool
-	mayRun  bool
-	over    bool
-	moves   []Move
+	Stuck  bool
+	phase  phase
+	began  bool
+	mayRun bool
+	over   bool
+	moves  []Move
 }
 
 func (e *Exchange) Over() (yes bool) { return e.over }
 
-func (e *Exchange) do(m Move) { e.moves = append(e.moves, m) }
+const usualMoves = 4
+
+func (e *Exchange) do(m Move) {
+	if e.moves == nil {
+		e.moves = make([]Move, 0, usualMoves)
+	}
+	e.moves = append(e.moves, m)
+}
 
 func (e *Exchange) tell(ev mallowbridge.Event) { e.do(Move{Kind: Tell, Event: ev}) }
 
 func (e *Exchange) take() (moves []Move) {
+	if len(e.moves) == 0 {
+		return nil
+	}
 	moves, e.moves = e.moves, nil
 	return moves
 }
 
-func (e *Exchange) finish(o Outcome, why string, after time.Duration) {
-	if e.open {
+// spent gives moves that were carried out back, so that their room serves the next ones.
+func (e *Exchange) spent(moves []Move) {
+	if e.moves == nil && moves != nil {
+		clear(moves)
+		e.moves = moves[:0]
+	}
+}
+
+// ran tells whether the request may have run: only an attempt that was never written, or one that a replica refused, has not.
+func (e *Exchange) ran() (yes bool) { return e.mayRun || e.phase == written || e.phase == passing }
+
+func (e *Exchange) leave() {
+	e.mayRun = e.ran()
+	if e.phase != none {
 		e.do(Move{Kind: Drop})
 	}
-	e.open, e.over = false, true
+	e.phase = none
+}
+
+func (e *Exchange) finish(o Outcome, why string, after time.Duration) {
+	e.leave()
+	e.over = true
 	if e.began && o != Done && o != Gone {
 		o = Aborted
 	}
@@ -46,54 +82,55 @@
 }
 
 func (e *Exchange) end(how mallowbridge.How) {
-	if e.open && how != mallowbridge.Whole && how != mallowbridge.Refused {
-		e.do(Move{Kind: Drop})
+	if how == mallowbridge.Broken {
+		e.leave()
 	}
-	e.mayRun = e.mayRun || (e.sent && how == mallowbridge.Broken)
-	e.open, e.sent, e.refused = false, false, false
+	e.phase = none
 	e.tell(mallowbridge.End{Request: e.Request, Go: e.Place.Go, How: how})
 }
 
+// repeats tells whether a request that may have run may be written again.
+func repeats(d mallowbridge.Decision) (yes bool) { return d.Resumes || mayRepeat(d.Route) }
+
+func mayRepeat(r *charter.Route) (yes bool) { return r != nil && (r.Repeatable || r.Resumable) }
+
 func (e *Exchange) Decided(d mallowbridge.Decision) (moves []Move) {
-	if e.over || (e.open && d.Go != "" && d.Go != e.Place.Go && d.Verdict != mallowbridge.Place) {
+	if e.over || (e.phase != none && d.Go != "" && d.Go != e.Place.Go && d.Verdict != mallowbridge.Place) {
 		return nil
 	}
 	switch d.Verdict {
 	case mallowbridge.Place:
-		if e.began && (e.Stuck || !d.Resumes) {
+		if (e.began && (e.Stuck || !d.Resumes)) || (e.ran() && !repeats(d)) {
 			e.tell(mallowbridge.Hangup{Request: e.Request})
-			e.finish(Aborted, "", 0)
+			e.finish(Unknown, "", 0)
 			break
 		}
-		if e.open {
-			e.do(Move{Kind: Drop})
-		}
-		e.Place, e.open, e.sent, e.refused = d, true, false, false
+		e.leave()
+		e.Place, e.phase = d, connecting
 		e.do(Move{Kind: Connect})
 	case mallowbridge.Send:
-		if e.open && !e.sent {
-			e.sent = true
+		if e.phase == connected {
+			e.phase = written
 			e.do(Move{Kind: Write})
 		}
 	case mallowbridge.Recall:
-		if e.open && !e.sent {
-			e.open = false
+		if e.phase == connecting || e.phase == connected {
+			e.phase = none
 			e.do(Move{Kind: Park})
 		}
 	case mallowbridge.Deny:
 		e.denied(d)
 	case mallowbridge.Unknown, mallowbridge.Partial:
-		e.finish(Unknown, d.Why, 0)
+		e.finish(Unknown, d.Why, d.After)
 	}
 	return e.take()
 }
 
-// denied keeps the promise of a 503: a request that may have run, and may not run twice, is not called denied.
+// denied keeps the promise of a 503: a request that may have run is not called denied.
 func (e *Exchange) denied(d mallowbridge.Decision) {
-	again := e.Place.Route != nil && e.Place.Route.Repeatable
 	switch {
-	case (e.mayRun && !again) || d.Repeat:
-		e.finish(Unknown, d.Why, 0)
+	case e.ran() || d.Repeat:
+		e.finish(Unknown, d.Why, d.After)
 	case d.Bad:
 		e.finish(NotFound, d.Why, 0)
 	default:
@@ -118,70 +155,38 @@
 		e.tell(mallowbridge.Hangup{Request: e.Request})
 		e.finish(Gone, "", 0)
 	case Overdue:
-		e.tell(mallowbridge.Hangup{Request: e.Request})
-		if e.sent || e.mayRun {
-			e.finish(Expired, "out of time", 0)
-		} else {
-			e.finish(Denied, "out of time", 0)
-		}
+		e.overdue(s)
 	case Connected:
-		e.tell(mallowbridge.Leave{Request: e.Request, Go: e.Place.Go})
+		if e.phase == connecting {
+			e.phase = connected
+			e.tell(mallowbridge.Leave{Request: e.Request, Go: e.Place.Go})
+		}
 	case Unconnected:
-		if s.Capped {
-			e.end(mallowbridge.Refused)
-		} else {
+		e.unconnected(s)
+	case Unwritten:
+		if e.phase == written {
+			e.do(Move{Kind: Drop})
 			e.end(mallowbridge.Unreached)
 		}
 	case Replied:
-		e.replied(s)
+		if e.phase == written {
+			e.replied(s)
+		}
 	case Begun:
-		e.tell(mallowbridge.Piece{Request: e.Request, Go: e.Place.Go})
-		e.began = true
+		if e.phase == passing {
+			e.tell(mallowbridge.Piece{Request: e.Request, Go: e.Place.Go})
+			e.began = true
+		}
 	case Ended:
 		e.ended()
 	case Lost:
-		if e.refused {
-			e.end(mallowbridge.Refused)
-		} else {
+		switch e.phase {
+		case written, passing:
 			e.end(mallowbridge.Broken)
+		case draining:
+			e.do(Move{Kind: Drop})
+			e.end(mallowbridge.Refused)
 		}
 	}
 	return e.take()
 }
-
-func (e *Exchange) ended() {
-	if e.refused {
-		e.end(mallowbridge.Refused)
-		return
-	}
-	e.end(mallowbridge.Whole)
-	e.finish(Done, "", 0)
-}
-
-func (e *Exchange) replied(s Replied) {
-	if s.Foreign {
-		e.end(mallowbridge.Broken)
-		return
-	}
-	if s.Load != nil {
-		e.tell(*s.Load)
-	}
-	if s.Status == http.StatusMisdirectedRequest {
-		e.tell(mallowbridge.Misplaced{Replica: e.Place.Replica})
-	}
-	switch {
-	case s.NotRun || s.Status == http.StatusMisdirectedRequest:
-		e.refused = true
-		e.do(Move{Kind: Drain})
-	case s.Open, s.Bare && s.Status/100 == 2, e.began && !s.Stream:
-		e.end(mallowbridge.Broken)
-	default:
-		e.tell(mallowbridge.Head{Request: e.Request, Go: e.Place.Go, InstanceID: cmp.Or(s.Instance, e.Place.Instance), Failed: failure(s.Status)})
-		e.do(Move{Kind: Pass})
-	}
-}
-
-// failure tells whether a status says that the replica is ill; one that only ran out of time is not.
-func failure(status int) (yes bool) {
-	return status >= 500 && status != http.StatusGatewayTimeout
-}
--- /dev/null
+++ b/ferry/fault_test.go
@@ -0,0 +1,185 @@
+package ferry_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/ferry"
+)
+
+// narrow connects with a small window.
+func narrow(t *testing.T, addr string) (u *user) {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 2048) })
+	}}
+	c, err := d.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &user{TCPConn: c.(*net.TCPConn)}
+}
+
+const manyBytes = 16 << 20
+
+// endless gives a replica that says more than any socket takes.
+func endless(t *testing.T) (rep *replica) {
+	return newReplica(t, say("200 OK", "", strings.Repeat("x", manyBytes)))
+}
+
+func TestClientThatDoesNotReadIsCut(t *testing.T) {
+	set := ferry.Defaults()
+	set.Stall = 150 * time.Millisecond
+	m := newMarket(unknown, endless(t).place(unsafe))
+	p, addr := front(t, m, set, charter.Limits{})
+	u := narrow(t, addr)
+	u.ask(t, "GET", "id1", "", "")
+	for end := time.Now().Add(patience); p.N.Hangups.Load() == 0; runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatal("the stuck client is waited for")
+		}
+	}
+	settled(t, p)
+	want(t, "held", p.Held(), 0)
+}
+
+// TestSlowReaderIsNotCut reads at a tenth of the stall time's pace for many stall times.
+func TestSlowReaderIsNotCut(t *testing.T) {
+	set := ferry.Defaults()
+	set.Stall = 200 * time.Millisecond
+	m := newMarket(unknown, endless(t).place(unsafe))
+	p, addr := front(t, m, set, charter.Limits{})
+	u := narrow(t, addr)
+	u.ask(t, "GET", "id1", "", "")
+	tick := time.NewTicker(set.Stall / 10)
+	defer tick.Stop()
+	for range 100 {
+		<-tick.C
+		if _, err := io.ReadFull(u, make([]byte, 1024)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want(t, "cut", p.N.Hangups.Load(), 0)
+}
+
+// TestSlowReaderEndsWithItsRequest: a replica's place is not held for longer than the request lives.
+func TestSlowReaderEndsWithItsRequest(t *testing.T) {
+	set := ferry.Defaults()
+	set.Stall, set.Hold = 300*time.Millisecond, 4<<20
+	m := newMarket(unknown, endless(t).place(&charter.Route{Timeout: 100 * time.Millisecond}))
+	p, addr := front(t, m, set, charter.Limits{})
+	u := narrow(t, addr)
+	u.ask(t, "GET", "id1", "", "")
+	tick := time.NewTicker(set.Stall / 30)
+	defer tick.Stop()
+	for taken := 0; p.N.Hangups.Load()+p.N.Aborted.Load() == 0; <-tick.C {
+		n, err := u.Read(make([]byte, 2048))
+		if taken += n; err != nil || taken > 1<<20 {
+			t.Fatal("the replica is still held", taken, err)
+		}
+	}
+	settled(t, p)
+}
+
+func TestUploadsThatStop(t *testing.T) {
+	for _, c := range []struct{ name, head, part string }{
+		{"sized", "Content-Length: 10\r\n", "half"},
+		{"chunked", "Transfer-Encoding: chunked\r\n", "4\r\nhalf\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMarket(deny)
+			p, addr := front(t, m, ferry.Defaults(), charter.Limits{Header: 100 * time.Millisecond})
+			u := dial(t, addr)
+			u.say(t, "POST /a HTTP/1.1\r\nHost: h\r\nX-Attempt: id1\r\n"+c.head+"\r\n"+c.part)
+			r := u.answer(t, "POST")
+			want(t, "answer", fmt.Sprint(r.status, r.header.Get("Connection")), "408close")
+			settled(t, p)
+			want(t, "arrivals and held", int64(len(m.arrived))+p.Held(), 0)
+		})
+	}
+}
+
+// TestSlowUploadIsBounded: some bytes in time are not enough for ever.
+func TestSlowUploadIsBounded(t *testing.T) {
+	set := ferry.Defaults()
+	set.Upload = 300 * time.Millisecond
+	p, addr := front(t, newMarket(deny), set, charter.Limits{Header: 200 * time.Millisecond})
+	u := dial(t, addr)
+	u.say(t, "POST /a HTTP/1.1\r\nHost: h\r\nX-Attempt: id1\r\nContent-Length: 100000\r\n\r\n")
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for sent := 0; p.N.Bad.Load() == 0; sent++ {
+		<-tick.C
+		if _, err := io.WriteString(u, "x"); err != nil || sent == 200 {
+			t.Fatal("sent", sent, err)
+		}
+	}
+	want(t, "status", u.answer(t, "POST").status, 408)
+}
+
+func TestBudget(t *testing.T) {
+	h := newHand(t)
+	set := ferry.Defaults()
+	set.Budget = 100 << 10
+	m := newMarket(deny, h.place(unsafe))
+	p, addr := front(t, m, set, charter.Limits{})
+	first := dial(t, addr)
+	first.ask(t, "POST", "id1", "", strings.Repeat("x", 80<<10))
+	u := h.accept(t)
+	g := u.request(t)
+	<-m.arrived
+	for _, extra := range []string{"Content-Length: 20000\r\n", "Transfer-Encoding: chunked\r\n"} {
+		second := dial(t, addr)
+		second.say(t, "POST /a HTTP/1.1\r\nHost: h\r\nX-Attempt: id2\r\n"+extra+"\r\n")
+		if strings.HasPrefix(extra, "T") {
+			second.say(t, "4e20\r\n"+strings.Repeat("y", 20000)+"\r\n")
+		}
+		r := second.answer(t, "POST")
+		want(t, "second", fmt.Sprint(r.status, r.header.Get("Retry-After")), "5030.25")
+	}
+	want(t, "arrivals", len(m.arrived), 0)
+	want(t, "full", p.N.Full.Load(), 2)
+	u.reply(t, g, "200 OK", "", "done")
+	want(t, "first", first.answer(t, "POST").body, "done")
+	first.ask(t, "POST", "id3", "", strings.Repeat("x", 80<<10))
+	u = &up{TCPConn: u.TCPConn, in: u.in}
+	u.reply(t, u.request(t), "200 OK", "", strings.Repeat("z", 200<<10))
+	want(t, "long answer", len(first.answer(t, "POST").body), 200<<10)
+	settled(t, p)
+	want(t, "held", p.Held(), 0)
+}
+
+// TestReplicaThatDoesNotReadOn has small windows, and reads only once TCP_USER_TIMEOUT alone has ended the other, equal request.
+func TestReplicaThatDoesNotReadOn(t *testing.T) {
+	var users []*user
+	var hands []*hand
+	for _, window := range []int{ferry.Defaults().Window, 1 << 30} {
+		h := newHand(t)
+		raw, err := h.lis.SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096) })
+		set := ferry.Defaults()
+		set.UserTimeout, set.Window = 300*time.Millisecond, window
+		_, addr := front(t, newMarket(deny, h.place(unsafe)), set, charter.Limits{})
+		c := dial(t, addr)
+		c.ask(t, "POST", "id1", "X-Wait-Ms: 30000\r\n", strings.Repeat("x", 30000))
+		users, hands = append(users, c), append(hands, h)
+	}
+	patient, hasty := hands[0].accept(t), hands[1].accept(t)
+	want(t, "hasty", users[1].answer(t, "POST").status, 502)
+	hasty.reset()
+	patient.reply(t, patient.request(t), "200 OK", "", "late")
+	want(t, "patient", users[0].answer(t, "POST").body, "late")
+}
--- a/ferry/ferry.go
+++ b/ferry/ferry.go
@@ -16,16 +16,16 @@
 	Tell(ev mallowbridge.Event)
 }
 
-// Headers are the names that user agents and replicas use, and how to read their values. An empty name is not used.
+// Headers are the names that clients and replicas use, and how to read their values. An empty name is not used.
 type Headers struct {
-	// Attempt is the user agent's id of a request; answers carry it back.
+	// Attempt is the client's id of a request; answers carry it back.
 	Attempt string
 	// Target names the instance that alone may run the request.
 	Target string
 	// NotRun in an answer says that the replica did not and will not run the request.
 	NotRun string
 	Load   string
-	// Deadline holds how many milliseconds the user agent will wait.
+	// Deadline holds how many milliseconds the client will wait.
 	Deadline string
 	Prefix   string
 	Model    string
@@ -34,7 +34,7 @@
 	Seal string
 	// Instance in an answer names the instance that gave it.
 	Instance string
-	// Rank tells the replica how urgent the request is; one that the user agent sent stays.
+	// Rank tells the replica how urgent the request is; one that the client sent stays.
 	Rank string
 
 	ParseTokens func(value string) (prompt, most int)
@@ -56,29 +56,42 @@
 	Idle time.Duration
 	// IdleMargin is taken off the time that a replica does say, besides a fifth of it.
 	IdleMargin time.Duration
+	// IdleNonRepeatable is how long a connection may rest, where the replica does not say, before requests that may not be repeated shun it.
+	IdleNonRepeatable time.Duration
 	// UserTimeout bounds how long sent bytes may stay unacknowledged (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
+	// Window is the longest request that any replica takes in without reading it; a longer one may wait unsent.
+	Window int
 	// Grace is how much longer than the request's deadline a replica may take to say that it is over.
 	Grace time.Duration
+	// Stall is a time in which a client that reads at all takes some bytes; see quietWindows.
+	Stall time.Duration
+	// Upload bounds how long a request's body may take as a whole where the client's own deadline does not.
+	Upload time.Duration
+	// Linger is how long idle clients' connections outlive Retire.
+	Linger time.Duration
 	// Hold is how much of an answer that is no stream is held back until it is whole.
 	Hold int
 	// Event bounds one event of a stream.
 	Event     int
 	HeadBytes int
 	BodyBytes int
+	// Budget bounds the bytes of bodies and held answers in all; beyond it requests are refused unread. 0: no bound.
+	Budget int
 }
 
 func Defaults() (s Settings) {
 	return Settings{
-		Dial: 400 * time.Millisecond, Idle: 4 * time.Second, IdleMargin: 200 * time.Millisecond, UserTimeout: 1500 * time.Millisecond,
-		Grace: 250 * time.Millisecond, Hold: 256 << 10, Event: 1 << 20, HeadBytes: 64 << 10, BodyBytes: 16 << 20,
+		Dial: 400 * time.Millisecond, Idle: 4 * time.Second, IdleMargin: 200 * time.Millisecond, IdleNonRepeatable: 500 * time.Millisecond,
+		UserTimeout: 1500 * time.Millisecond, Window: 8 << 10, Grace: 250 * time.Millisecond, Stall: 5 * time.Second, Upload: time.Minute,
+		Linger: 500 * time.Millisecond, Hold: 256 << 10, Event: 1 << 20, HeadBytes: 64 << 10, BodyBytes: 16 << 20, Budget: 32 << 20,
 	}
 }
 
 type Counters struct {
-	Requests, Done, Denied, NotFound, Unknown, Bad, Hangups, Aborted, Expired atomic.Uint64
-	Dials, DialFails, Capped, Reused, Stale                                   atomic.Uint64
-	Broken, Refused, Misplaced, Surplus, Resumed                              atomic.Uint64
+	Requests, Done, Denied, NotFound, Unknown, Bad, Full, Hangups, Aborted, Expired atomic.Uint64
+	Dials, DialFails, Capped, Reused, Stale, Unwritten                              atomic.Uint64
+	Broken, Refused, Misplaced, Surplus, Resumed                                    atomic.Uint64
 }
 
 // Proxy passes requests of any host and path to the replicas that the market chooses.
@@ -88,25 +101,26 @@
 	set     Settings
 	limits  func() charter.Limits
 	pool    *Pool
+	budget  Budget
 	front   string
 	seq     atomic.Uint64
 	running atomic.Int64
+	active  atomic.Int64
 	retired atomic.Bool
+	closing atomic.Bool
+	clients chan map[*client]struct{}
 	N       Counters
 }
 
 // New makes a proxy; boot tells this life of the process from others of the node.
 func New(market Market, headers Headers, set Settings, limits func() charter.Limits, boot string) (p *Proxy) {
 	p = &Proxy{market: market, headers: headers.canonical(), set: set, limits: limits, front: boot + "/"}
-	p.pool = NewPool(set, &p.N)
+	p.pool, p.budget.Bound = NewPool(set, &p.N), int64(set.Budget)
+	p.clients = make(chan map[*client]struct{}, 1)
+	p.clients <- map[*client]struct{}{}
 	return p
 }
 
-// Retire lets user agents take their next requests elsewhere; who comes all the same is still served.
-func (p *Proxy) Retire() { p.retired.Store(true) }
-
-func (p *Proxy) Running() (n int) { return int(p.running.Load()) }
-
 func (p *Proxy) name() (request string) {
 	return p.front + strconv.FormatUint(p.seq.Add(1), 36)
 }
--- /dev/null
+++ b/ferry/fuzz_test.go
@@ -0,0 +1,245 @@
+package ferry_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/mallowbridge/mallowbridge"
+	"github.com/mallowbridge/mallowbridge/charter"
+	"github.com/mallowbridge/mallowbridge/ferry"
+)
+
+// anything gives any decision or signal, by three bytes.
+func anything(kind, a, b byte) (s any) {
+	id := string('a' + rune(a%2))
+	route := []*charter.Route{safe, unsafe, streams}[b%3]
+	switch kind % 16 {
+	case 0, 1:
+		return mallowbridge.Decision{Verdict: mallowbridge.Place, Go: id, Route: route, Resumes: b&16 > 0, Instance: "i1"}
+	case 2, 3:
+		return mallowbridge.Decision{Verdict: mallowbridge.Send, Go: id}
+	case 4:
+		return mallowbridge.Decision{Verdict: mallowbridge.Recall, Go: id}
+	case 5:
+		return mallowbridge.Decision{Verdict: mallowbridge.Deny, Bad: b&8 > 0, Repeat: b&16 > 0}
+	case 6:
+		return mallowbridge.Decision{Verdict: []mallowbridge.Verdict{mallowbridge.Unknown, mallowbridge.Partial, mallowbridge.Cancel, mallowbridge.Done}[b%4], Go: id}
+	case 7, 8:
+		return ferry.Connected{}
+	case 9:
+		return ferry.Unconnected{Capped: b&1 > 0}
+	case 10, 11:
+		status := []int{200, 200, 200, 204, 500, 503, 429, 421, 408}[int(a)%9]
+		return ferry.Replied{Status: status, Foreign: b&31 == 1, NotRun: b&7 == 2, Open: b&31 == 3, Bare: b&31 == 4, Stream: b&32 > 0}
+	case 12:
+		return ferry.Begun{}
+	case 13:
+		return []ferry.Signal{ferry.Ended{}, ferry.Lost{}, ferry.Lost{}, ferry.Unwritten{}}[b%4]
+	case 14:
+		if a < 200 {
+			return ferry.Lost{}
+		}
+		return []ferry.Signal{ferry.HungUp{}, ferry.Overdue{}, ferry.Overdue{Unwritten: true}}[b%3]
+	}
+	if a < 250 {
+		return ferry.Ended{}
+	}
+	return nil
+}
+
+func judged(t *testing.T, script []byte) {
+	e, j := ferry.Exchange{Request: "q"}, &judge{t: t}
+	for ; len(script) >= 3; script = script[3:] {
+		e.Stuck = script[2]&128 > 0
+		j.step(&e, anything(script[0], script[1], script[2]))
+	}
+	if e.Over() != (j.finishes == 1) {
+		j.fail("over without an end")
+	}
+}
+
+func FuzzExchange(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 7, 0, 0, 2, 0, 0, 10, 0, 0, 12, 0, 0, 15, 0, 0})
+	f.Fuzz(judged)
+}
+
+func TestExchangeInAnyOrder(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 30000 {
+		script := make([]byte, 3*(4+rnd.IntN(30)))
+		for i := range script {
+			script[i] = byte(rnd.Uint32())
+		}
+		judged(t, script)
+	}
+}
+
+// TestExchangeInUsualOrder comes further than any order does: each signal is mostly one that fits.
+func TestExchangeInUsualOrder(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 4))
+	for range 30000 {
+		var script []byte
+		for range 1 + rnd.IntN(4) {
+			go0, b := byte(rnd.Uint32()), byte(rnd.Uint32())
+			for _, kind := range []byte{0, 7, 2, 10, 12, byte(13 + rnd.IntN(3))} {
+				if rnd.IntN(12) == 0 {
+					kind = byte(rnd.Uint32())
+				}
+				if kind > 6 {
+					b = byte(rnd.Uint32())
+				}
+				script = append(script, kind, go0, b&127)
+			}
+		}
+		judged(t, script)
+	}
+}
+
+func feed(t *testing.T, e *ferry.Events, text []byte, cut func(left int) (n int)) (out []byte) {
+	for len(text) > 0 {
+		n := min(max(cut(len(text)), 1), len(text))
+		whole, err := e.Feed(text[:n])
+		if err != nil {
+			t.Fatal(err)
+		}
+		out = append(out, whole...)
+		text = text[n:]
+	}
+	return out
+}
+
+// FuzzEvents feeds any bytes in any pieces: all of them come out once and in order, and the cuts change no event.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n:c\r\rdata"), uint64(1))
+	f.Add([]byte("000000\r00000000\r\n\r"), uint64(62))
+	f.Fuzz(func(t *testing.T, text []byte, seed uint64) {
+		rnd := rand.New(rand.NewPCG(seed, 0))
+		one, many := ferry.Events{Bound: 1 << 20}, ferry.Events{Bound: 1 << 20}
+		a := feed(t, &one, text, func(left int) int { return left })
+		b := feed(t, &many, text, func(int) int { return 1 + rnd.IntN(9) })
+		if !bytes.Equal(append(a, one.Rest()...), text) || !bytes.Equal(append(b, many.Rest()...), text) {
+			t.Fatalf("%q became %q and %q", text, a, b)
+		}
+		if one.Last != many.Last || one.Plain != many.Plain {
+			t.Fatalf("%q: last is %q or %q", text, one.Last, many.Last)
+		}
+	})
+}
+
+// TestEventsAcrossResumes cuts a stream anywhere, again and again; replicas go on after the last id, or earlier.
+func TestEventsAcrossResumes(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(5, 6))
+	for range 5000 {
+		end := []string{"\n", "\r\n", "\r"}[rnd.IntN(3)]
+		var events []string
+		for i := range 1 + rnd.IntN(12) {
+			events = append(events, fmt.Sprintf("id: %d%sdata: %x%s%s", i+1, end, rnd.Uint32(), end, end))
+		}
+		e := ferry.Events{Bound: 1 << 20}
+		var out []byte
+		from, text := 0, strings.Join(events, "")
+		for {
+			rest := strings.Join(events[from:], "")
+			cut := rnd.IntN(len(rest) + 1)
+			if rnd.IntN(4) == 0 {
+				cut = len(rest)
+			}
+			out = append(out, feed(t, &e, []byte(rest[:cut]), func(int) int { return 1 + rnd.IntN(40) })...)
+			if cut == len(rest) {
+				out = append(out, e.Rest()...)
+				break
+			}
+			last := 0
+			_, _ = fmt.Sscan(e.Last, &last)
+			from = rnd.IntN(last + 1)
+			e.Resume()
+		}
+		if got := strings.ReplaceAll(string(out), "\r\n", "\n"); got != strings.ReplaceAll(text, "\r\n", "\n") {
+			t.Fatalf("%q became %q", text, out)
+		}
+	}
+}
+
+// TestEventsComeOutAtOnce gives each event out with its last byte, whatever ends the lines; only an LF after a CR is waited for.
+func TestEventsComeOutAtOnce(t *testing.T) {
+	for _, end := range []string{"\n", "\r\n", "\r"} {
+		e := ferry.Events{Bound: 1 << 10}
+		for i := range 3 {
+			text := fmt.Sprintf("id: %d%sdata: x%s%s", i, end, end, end)
+			out := feed(t, &e, []byte(text), func(int) int { return 1 })
+			want(t, "event", string(out), text)
+			want(t, "last", e.Last, i)
+		}
+	}
+}
+
+func TestEventBound(t *testing.T) {
+	e := ferry.Events{Bound: 10}
+	if _, err := e.Feed([]byte("data: 1\n\ndata")); err != nil {
+		t.Error(err)
+	}
+	if _, err := e.Feed([]byte(": 456789")); err == nil {
+		t.Error("a long event was taken")
+	}
+}
+
+// FuzzAnswer lets a replica say anything: a success reaches the client only with its seal and its id, whole, and no byte is added.
+func FuzzAnswer(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nX-Attempt: id1\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 200 OK\r\nX-Attempt: id1\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Attempt: id1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		"HTTP/1.1 204 None\r\nX-Attempt: id1\r\nX-Seal: s\r\n\r\n", "HTTP/1.1 503 Full\r\nX-Attempt: id1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Attempt: id1\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nid: 1\n\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	h := newHand(f)
+	m := newMarket(mallowbridge.Decision{Verdict: mallowbridge.Deny}, h.place(streams))
+	set := ferry.Defaults()
+	set.Hold = 4 << 10
+	_, addr := front(f, m, set, charter.Limits{})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c := dial(t, addr)
+		c.ask(t, "POST", "id1", "X-Wait-Ms: 5000\r\nConnection: close\r\n", "")
+		u := h.accept(t)
+		u.request(t)
+		_, _ = u.Write(text)
+		_ = u.Close()
+		r := c.answer(t, "POST")
+		m.heard()
+		for len(m.arrived) > 0 {
+			<-m.arrived
+		}
+		proof := readAnswer(text)
+		switch {
+		case r.status/100 == 2 && r.err == nil && (proof.err != nil || proof.status != r.status || proof.body != r.body):
+			t.Fatalf("%q became %d %q, not %d %q", text, r.status, r.body, proof.status, proof.body)
+		case r.status/100 == 2 && (r.header["X-Seal"] == nil || proof.header.Get("X-Attempt") != "id1"):
+			t.Fatalf("%q became a success", text)
+		case r.status == http.StatusServiceUnavailable && proof.header["X-Not-Run"] == nil && proof.status != http.StatusMisdirectedRequest:
+			t.Fatalf("%q became a denial", text)
+		}
+	})
+}
+
+// readAnswer reads past the early answers.
+func readAnswer(text []byte) (r reply) {
+	in := bufio.NewReader(bytes.NewReader(text))
+	for {
+		resp, err := http.ReadResponse(in, &http.Request{Method: "POST"})
+		if err != nil {
+			return reply{err: err}
+		}
+		if resp.StatusCode/100 == 1 {
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	}
+}
--- a/ferry/handler.go
+++ b/ferry/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,54 +12,36 @@
 )
 
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
 	p.N.Requests.Add(1)
 	p.running.Add(1)
 	defer p.running.Add(-1)
-	body, err := p.body(w, r)
-	if err != nil {
-		p.N.Bad.Add(1)
-		status := http.StatusBadRequest
-		var long *http.MaxBytesError
-		if errors.As(err, &long) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		p.say(w, status, "bad", err.Error())
-		return
-	}
-	x := &transfer{p: p, w: w, r: r, body: body, arrived: arrived, ex: Exchange{Request: p.name()}}
-	x.events = Events{Bound: p.set.Event, Last: r.Header.Get(lastEvent)}
-	defer x.drop()
-	x.run(p.arrive(x))
-}
-
-func (p *Proxy) body(w http.ResponseWriter, r *http.Request) (body []byte, err error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	most := int64(p.set.BodyBytes)
-	if n := p.limits().BodyBytes; n > 0 {
-		most = int64(n)
-	}
-	if r.ContentLength > most {
-		w.Header().Set("Connection", "close")
-		return nil, &http.MaxBytesError{Limit: most}
+	x := &transfer{p: p, w: w, r: r, arrived: time.Now(), share: share{of: &p.budget}, client: clientOf(r)}
+	if x.client != nil {
+		x.client.activate()
 	}
-	if r.ContentLength < 0 {
-		return io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	x.ex.Request = p.name()
+	x.events = Events{Bound: p.set.Event, Last: first(r.Header, lastEvent)}
+	defer x.free()
+	a := p.arrive(x)
+	if err := x.readBody(); err != nil {
+		x.refuse(err)
+		return
 	}
-	body = make([]byte, r.ContentLength)
-	if _, err = io.ReadFull(r.Body, body); err != nil {
-		return nil, err
+	if took := time.Since(x.arrived); a.Patience > 0 && took > slowUpload {
+		a.Patience = max(a.Patience-took, time.Millisecond)
 	}
-	_, _ = r.Body.Read(make([]byte, 1))
-	return body, nil
+	x.run(a)
 }
 
+// slowUpload is how long a body may take before the market is told that less time is left.
+const slowUpload = 100 * time.Millisecond
+
 func host(r *http.Request) (name string) {
 	name = r.Host
-	if h, _, err := net.SplitHostPort(name); err == nil {
-		name = h
+	if strings.IndexByte(name, ':') >= 0 {
+		if h, _, err := net.SplitHostPort(name); err == nil {
+			name = h
+		}
 	}
 	return strings.ToLower(name)
 }
@@ -81,16 +61,11 @@
 func (p *Proxy) arrive(x *transfer) (a mallowbridge.Arrive) {
 	h := x.r.Header
 	a = mallowbridge.Arrive{Request: x.ex.Request, Host: host(x.r), Path: path(x.r)}
-	if p.headers.Prefix != "" {
-		a.Prefix = h.Get(p.headers.Prefix)
-	}
-	if p.headers.Model != "" {
-		a.Model = h.Get(p.headers.Model)
-	}
-	if v := h.Get(p.headers.Tokens); v != "" && p.headers.ParseTokens != nil {
+	a.Prefix, a.Model = first(h, p.headers.Prefix), first(h, p.headers.Model)
+	if v := first(h, p.headers.Tokens); v != "" && p.headers.ParseTokens != nil {
 		a.Tokens, a.Most = p.headers.ParseTokens(v)
 	}
-	if ms, err := strconv.ParseInt(h.Get(p.headers.Deadline), 10, 32); err == nil && ms > 0 {
+	if ms, err := strconv.ParseInt(first(h, p.headers.Deadline), 10, 32); err == nil && ms > 0 {
 		a.Patience = time.Duration(ms) * time.Millisecond
 		x.deadline = x.arrived.Add(a.Patience)
 	}
@@ -102,17 +77,25 @@
 	Why     string `json:"why,omitempty"`
 }
 
-func (p *Proxy) say(w http.ResponseWriter, status int, outcome, why string) {
-	p.retire(w)
+func (x *transfer) say(status int, outcome, why string) {
+	h := x.w.Header()
+	x.connection()
 	body, _ := json.Marshal(answer{Outcome: outcome, Why: why})
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write(body)
 }
 
-func (p *Proxy) retire(w http.ResponseWriter) {
-	if p.retired.Load() {
-		w.Header().Set("Connection", "close")
+var closes = []string{"close"}
+
+// connection says what becomes of the client's connection: it ends when this node is leaving, and is kept as long as idle ones are.
+func (x *transfer) connection() {
+	h := x.w.Header()
+	switch {
+	case x.p.retired.Load():
+		h["Connection"] = closes
+	case x.client != nil && x.client.keep != nil && !x.r.Close && h["Connection"] == nil:
+		h["Keep-Alive"] = x.client.keep
 	}
 }
--- a/ferry/message.go
+++ b/ferry/message.go
@@ -6,15 +6,18 @@
 	"strings"
 )
 
-const lastEvent = "Last-Event-Id"
+const (
+	lastEvent   = "Last-Event-Id"
+	eventStream = "text/event-stream"
+)
 
-var hops = map[string]bool{
+// hopByHop are the headers that concern one connection, besides those its Connection header names, and those that are written anew.
+var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true,
 	"Upgrade": true, "Expect": true, "Content-Length": true, "Host": true,
 }
 
-// named gives the headers that concern one connection because its Connection header lists them.
-func named(h http.Header) (names []string) {
+func nominated(h http.Header) (names []string) {
 	for _, v := range h["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
 			names = append(names, http.CanonicalHeaderKey(strings.TrimSpace(name)))
@@ -23,8 +26,8 @@
 	return names
 }
 
-func hop(name string, names []string) (yes bool) {
-	if hops[name] {
+func isHopByHop(name string, names []string) (yes bool) {
+	if hopByHop[name] {
 		return true
 	}
 	for _, n := range names {
@@ -35,6 +38,13 @@
 	return false
 }
 
+func first(h http.Header, name string) (value string) {
+	if v := h[name]; len(v) > 0 {
+		return v[0]
+	}
+	return ""
+}
+
 func addHeader(b []byte, name, value string) (out []byte) {
 	b = append(b, name...)
 	b = append(b, ": "...)
@@ -42,36 +52,59 @@
 	return append(b, "\r\n"...)
 }
 
-// requestHead writes the head of a request anew; set replaces headers by name.
-func requestHead(r *http.Request, bodyLen int, set map[string]string) (b []byte) {
-	b = make([]byte, 0, 1024+min(bodyLen, joined))
+// field is a header that replaces whatever the request has of its name.
+type field struct{ name, value string }
+
+type fields struct {
+	all [4]field
+	n   int
+}
+
+func (f *fields) set(name, value string) {
+	f.all[f.n] = field{name: name, value: value}
+	f.n++
+}
+
+func (f *fields) has(name string) (yes bool) {
+	for _, x := range f.all[:f.n] {
+		if x.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// requestHead writes the head of a request anew.
+func requestHead(b []byte, r *http.Request, bodyLen int, set *fields) (out []byte) {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.RequestURI...)
 	b = append(b, " HTTP/1.1\r\n"...)
 	b = addHeader(b, "Host", r.Host)
-	names := named(r.Header)
+	names := nominated(r.Header)
 	for name, values := range r.Header {
-		if _, anew := set[name]; anew || hop(name, names) {
+		if set.has(name) || isHopByHop(name, names) {
 			continue
 		}
 		for _, v := range values {
 			b = addHeader(b, name, v)
 		}
 	}
-	for name, v := range set {
-		b = addHeader(b, name, v)
+	for _, x := range set.all[:set.n] {
+		b = addHeader(b, x.name, x.value)
 	}
 	if bodyLen > 0 || r.ContentLength != 0 || r.Header["Content-Length"] != nil {
-		b = addHeader(b, "Content-Length", strconv.Itoa(bodyLen))
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(bodyLen), 10)
+		b = append(b, "\r\n"...)
 	}
 	return append(b, "\r\n"...)
 }
 
 func copyHead(dst, src http.Header) {
-	names := named(src)
+	names := nominated(src)
 	for name, values := range src {
-		if !hop(name, names) {
+		if !isHopByHop(name, names) {
 			dst[name] = values
 		}
 	}
@@ -82,3 +115,8 @@
 		dst["Content-Type"] = nil
 	}
 }
+
+func isEventStream(resp *http.Response) (yes bool) {
+	kind, _, _ := strings.Cut(first(resp.Header, "Content-Type"), ";")
+	return resp.StatusCode == http.StatusOK && strings.EqualFold(strings.TrimSpace(kind), eventStream)
+}
--- a/ferry/move.go
+++ b/ferry/move.go
@@ -71,8 +71,11 @@
 
 type Lost struct{}
 
-// Overdue tells that the time of the request is over.
-type Overdue struct{}
+// Unwritten tells that no byte of the request that was to be written left this node.
+type Unwritten struct{}
+
+// Overdue tells that the time of the request is over, and whether that was so before any byte of it was written.
+type Overdue struct{ Unwritten bool }
 
 type HungUp struct{}
 
@@ -82,5 +85,6 @@
 func (Begun) signal()       {}
 func (Ended) signal()       {}
 func (Lost) signal()        {}
+func (Unwritten) signal()   {}
 func (Overdue) signal()     {}
 func (HungUp) signal()      {}
--- /dev/null
+++ b/ferry/pass.go
@@ -0,0 +1,153 @@
+package ferry
+
+import (
+	"io"
+	"net/http"
+)
+
+func (x *transfer) pass() {
+	if route := x.ex.Place.Route; route == nil || (!route.Repeatable && !route.Resumable) {
+		x.share.give(len(x.body))
+		x.body = nil
+	}
+	if x.buf == nil {
+		x.buf = getBuffer()
+	}
+	if x.stream {
+		x.passStream()
+	} else {
+		x.passWhole()
+	}
+}
+
+// passWhole holds an answer back until it is whole, so that a broken one may be asked for again; only a very long one, or one for
+// which there is no room, goes on at once.
+func (x *transfer) passWhole() {
+	b := x.buf.b[:0]
+	for {
+		if len(b) == cap(b) {
+			var ok bool
+			if b, ok = x.widen(b); !ok {
+				x.passLong(b)
+				return
+			}
+		}
+		n, err := x.resp.Body.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			x.lost(err)
+			return
+		}
+	}
+	x.settle()
+	x.happened(Ended{})
+	x.head()
+	_, _ = x.w.Write(b)
+}
+
+func (x *transfer) widen(b []byte) (wide []byte, ok bool) {
+	room := 2 * cap(b)
+	if n := x.resp.ContentLength; n >= 0 {
+		room = int(n) + 1
+	}
+	room = min(room, x.p.set.Hold)
+	if room <= cap(b) || !x.share.take(room-cap(b)) {
+		return b, false
+	}
+	wide = append(make([]byte, 0, room), b...)
+	x.buf.b = wide
+	return wide, true
+}
+
+func (x *transfer) passLong(held []byte) {
+	x.happened(Begun{})
+	x.bound()
+	x.head()
+	_, err := x.w.Write(held)
+	buf := held[:cap(held)]
+	for err == nil {
+		n, readErr := x.resp.Body.Read(buf)
+		if n > 0 {
+			_, err = x.w.Write(buf[:n])
+		}
+		if readErr == io.EOF && err == nil {
+			x.settle()
+			x.happened(Ended{})
+			return
+		}
+		if readErr != nil && readErr != io.EOF {
+			x.lost(readErr)
+			return
+		}
+	}
+	x.happened(HungUp{})
+}
+
+// bound keeps a client that reads ever so slowly from holding a replica's place for longer than the request lives.
+func (x *transfer) bound() {
+	if at := x.expiry(); !at.IsZero() && !x.bounded {
+		x.bounded = true
+		_ = http.NewResponseController(x.w).SetWriteDeadline(at.Add(x.p.set.Stall))
+	}
+}
+
+func (x *transfer) passStream() {
+	if x.headed {
+		x.p.N.Resumed.Add(1)
+		x.events.Resume()
+	}
+	x.bound()
+	ctl := http.NewResponseController(x.w)
+	buf := x.buf.b[:cap(x.buf.b)]
+	for begun := false; ; {
+		n, readErr := x.resp.Body.Read(buf)
+		whole, err := x.feed(buf[:n])
+		if err != nil {
+			x.lost(err)
+			return
+		}
+		ended := readErr == io.EOF
+		if ended {
+			whole = append(whole[:len(whole):len(whole)], x.events.Rest()...)
+		}
+		if len(whole) > 0 {
+			if !begun {
+				begun = true
+				x.happened(Begun{})
+			}
+			x.head()
+			x.ex.Stuck = x.events.Plain || x.w.Header().Get("Content-Length") != ""
+			_, err = x.w.Write(whole)
+			if err == nil && !ended {
+				err = ctl.Flush()
+			}
+			if err != nil {
+				x.happened(HungUp{})
+				return
+			}
+		}
+		if ended {
+			x.head()
+			x.settle()
+			x.happened(Ended{})
+			return
+		}
+		if readErr != nil {
+			x.lost(readErr)
+			return
+		}
+	}
+}
+
+// feed counts the room that a long event takes.
+func (x *transfer) feed(p []byte) (whole []byte, err error) {
+	before := cap(x.events.buf)
+	whole, err = x.events.Feed(p)
+	if grown := cap(x.events.buf) - before; err == nil && grown > 0 && cap(x.events.buf) > pooled && !x.share.take(grown) {
+		return nil, &EventError{Bytes: len(x.events.buf)}
+	}
+	return whole, err
+}
--- a/ferry/pool.go
+++ b/ferry/pool.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/sys/unix"
 )
 
 // CappedError says that this node keeps as many connections to the replica as it may, all in use.
@@ -58,7 +58,7 @@
 func (p *Pool) control(_, _ string, raw syscall.RawConn) (err error) {
 	ctlErr := raw.Control(func(fd uintptr) {
 		if p.set.UserTimeout > 0 {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.set.UserTimeout.Milliseconds()))
+			err = setUserTimeout(fd, p.set.UserTimeout)
 		}
 	})
 	if err == nil {
@@ -67,24 +67,37 @@
 	return err
 }
 
-// Take gives a kept connection that is still good, or a new one. One that last carried the same attempt is not taken:
+// want is what a request asks of a connection.
+type want struct {
+	key     key
+	conns   int
+	attempt string
+	// repeatable tells that the request may be repeated; where not, whoever writes it looks at the connection then.
+	repeatable bool
+}
+
+// take gives a kept connection that is still good, or a new one. One that last carried the same attempt is not taken:
 // a surplus copy of the answer to it could not be told from the answer.
-func (p *Pool) take(ctx context.Context, k key, conns int, attempt string) (c *conn, err error) {
+func (p *Pool) take(ctx context.Context, w want) (c *conn, err error) {
 	for {
-		c, err = p.kept(k, conns, time.Now())
+		c, err = p.kept(w, time.Now())
 		if err != nil {
 			return nil, err
 		}
 		if c == nil {
-			break
+			return p.dial(ctx, w.key)
 		}
-		if (attempt == "" || c.attempt != attempt) && c.fresh() {
+		if (w.attempt == "" || c.attempt != w.attempt) && time.Now().Before(c.until) && (!w.repeatable || c.alive()) {
 			p.n.Reused.Add(1)
 			return c, nil
 		}
 		p.n.Stale.Add(1)
 		p.drop(c)
 	}
+}
+
+// dial opens a connection that is counted already.
+func (p *Pool) dial(ctx context.Context, k key) (c *conn, err error) {
 	p.n.Dials.Add(1)
 	nc, err := p.dialer.DialContext(ctx, "tcp", k.addr)
 	if err != nil {
@@ -92,7 +105,7 @@
 		p.leave(k)
 		return nil, trace.Wrap(&DialError{Addr: k.addr, Cause: err})
 	}
-	c, err = newConn(nc, k)
+	c, err = newConn(nc, k, p.set.UserTimeout)
 	if err != nil {
 		_ = nc.Close()
 		p.leave(k)
@@ -101,22 +114,36 @@
 	return c, nil
 }
 
+// renew opens a connection in the place of one that is closed.
+func (p *Pool) renew(ctx context.Context, old *conn) (c *conn, err error) {
+	_ = old.nc.Close()
+	p.n.Stale.Add(1)
+	return p.dial(ctx, old.key)
+}
+
 // kept gives nothing when a new connection may be opened, which then is counted already.
-func (p *Pool) kept(k key, conns int, now time.Time) (c *conn, err error) {
+func (p *Pool) kept(w want, now time.Time) (c *conn, err error) {
 	all := <-p.owner
 	defer func() { p.owner <- all }()
-	s := all[k]
+	s := all[w.key]
 	if s == nil {
 		s = &shelf{}
-		all[k] = s
+		all[w.key] = s
 	}
-	if n := len(s.idle); n > 0 {
-		c, s.idle = s.idle[n-1], s.idle[:n-1]
+	n := len(s.idle)
+	if n > 0 && (w.repeatable || now.Before(s.idle[n-1].sure)) {
+		c, s.idle[n-1] = s.idle[n-1], nil
+		s.idle = s.idle[:n-1]
 		return c, nil
 	}
-	if conns > 0 && s.open >= conns {
-		p.n.Capped.Add(1)
-		return nil, trace.Wrap(&CappedError{Addr: k.addr, Conns: conns})
+	if w.conns > 0 && s.open >= w.conns {
+		if n == 0 {
+			p.n.Capped.Add(1)
+			return nil, trace.Wrap(&CappedError{Addr: w.key.addr, Conns: w.conns})
+		}
+		_ = s.idle[0].nc.Close()
+		s.idle = slices.Delete(s.idle, 0, 1)
+		return nil, nil
 	}
 	s.open++
 	return nil, nil
@@ -148,39 +175,3 @@
 	p.plan()
 	p.owner <- all
 }
-
-const sweepEvery = time.Second
-
-// plan must be called by the owner of the shelves.
-func (p *Pool) plan() {
-	if !p.sweeps {
-		p.sweeps = true
-		time.AfterFunc(sweepEvery, p.sweep)
-	}
-}
-
-func (p *Pool) sweep() {
-	now := time.Now()
-	all := <-p.owner
-	p.sweeps = false
-	for k, s := range all {
-		kept := s.idle[:0]
-		for _, c := range s.idle {
-			if now.Before(c.until) {
-				kept = append(kept, c)
-				continue
-			}
-			_ = c.nc.Close()
-			s.open--
-		}
-		clear(s.idle[len(kept):])
-		s.idle = kept
-		if s.open <= 0 {
-			delete(all, k)
-		}
-		if len(kept) > 0 {
-			p.plan()
-		}
-	}
-	p.owner <- all
-}
--- a/ferry/rig_test.go
+++ b/ferry/rig_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -229,3 +230,13 @@
 		t.Errorf("%s is %q, not %q", what, fmt.Sprint(got), fmt.Sprint(want))
 	}
 }
+
+// settled waits until nothing runs: the last bytes of an answer reach the client a little before the proxy knows that they left.
+func settled(t *testing.T, p *ferry.Proxy) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); p.Running() > 0; runtime.Gosched() {
+		if time.Now().After(end) {
+			t.Fatalf("%d requests are still running", p.Running())
+		}
+	}
+}
--- a/ferry/serve.go
+++ b/ferry/serve.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"gopkg.in/tomb.v2"
@@ -18,6 +19,8 @@
 	addr  net.Addr
 	conns chan net.Conn
 	done  chan struct{}
+	// replaced tells that the limits changed and another listener is handed the connections from now on.
+	replaced chan struct{}
 }
 
 func (f *feed) Accept() (c net.Conn, err error) {
@@ -25,18 +28,19 @@
 	case c = <-f.conns:
 		return c, nil
 	case <-f.done:
-		return nil, net.ErrClosed
+	case <-f.replaced:
 	}
+	return nil, net.ErrClosed
 }
 
 func (f *feed) Close() (err error) { return nil }
 
 func (f *feed) Addr() (a net.Addr) { return f.addr }
 
-func server(h http.Handler, l charter.Limits) (s *http.Server) {
+func server(p *Proxy, l charter.Limits) (s *http.Server) {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: cmp.Or(l.Header, ownHeader), IdleTimeout: cmp.Or(l.Idle, ownIdle), MaxHeaderBytes: l.HeaderBytes,
-		DisableGeneralOptionsHandler: true, ErrorLog: log.New(io.Discard, "", 0),
+		Handler: p, ReadHeaderTimeout: cmp.Or(l.Header, ownHeader), IdleTimeout: cmp.Or(l.Idle, ownIdle), MaxHeaderBytes: l.HeaderBytes,
+		DisableGeneralOptionsHandler: true, ErrorLog: log.New(io.Discard, "", 0), ConnContext: withClient, ConnState: connState,
 	}
 }
 
@@ -44,24 +48,35 @@
 	acceptPause = 5 * time.Millisecond
 	ownHeader   = 10 * time.Second
 	ownIdle     = time.Minute
+	// keepMargin is for a request that is on its way when its connection's idle time ends.
+	keepMargin = 500 * time.Millisecond
 )
 
-// Serve takes user agents' connections until the tomb dies; each connection keeps the limits of the time it came.
-func Serve(t *tomb.Tomb, lis net.Listener, h http.Handler, limits func() charter.Limits) {
+// keepAlive gives the Keep-Alive value for connections that may be idle for d: whole seconds, or nothing where there are none.
+func keepAlive(d time.Duration) (value []string) {
+	if secs := (d - keepMargin) / time.Second; secs > 0 {
+		value = []string{"timeout=" + strconv.Itoa(int(secs))}
+	}
+	return value
+}
+
+// Serve takes clients' connections until the tomb dies; each connection keeps the limits of the time it came.
+func Serve(t *tomb.Tomb, lis net.Listener, p *Proxy, limits func() charter.Limits) {
 	t.Go(func() error {
 		<-t.Dying()
 		_ = lis.Close()
 		return nil
 	})
 	t.Go(func() error {
-		accept(t, lis, h, limits)
+		accept(t, lis, p, limits)
 		return nil
 	})
 }
 
-func accept(t *tomb.Tomb, lis net.Listener, h http.Handler, limits func() charter.Limits) {
+func accept(t *tomb.Tomb, lis net.Listener, p *Proxy, limits func() charter.Limits) {
 	var now charter.Limits
 	var in *feed
+	var keep []string
 	done := make(chan struct{})
 	defer close(done)
 	for {
@@ -74,14 +89,19 @@
 			continue
 		}
 		if l := limits(); in == nil || l != now {
-			now, in = l, &feed{addr: lis.Addr(), conns: make(chan net.Conn), done: done}
-			s, f := server(h, l), in
+			if in != nil {
+				close(in.replaced)
+			}
+			now, in = l, &feed{addr: lis.Addr(), conns: make(chan net.Conn), done: done, replaced: make(chan struct{})}
+			s, f := server(p, l), in
+			keep = keepAlive(s.IdleTimeout)
 			t.Go(func() error {
 				_ = s.Serve(f)
+				<-done
 				_ = s.Close()
 				return nil
 			})
 		}
-		in.conns <- c
+		in.conns <- p.admit(c, keep)
 	}
 }
--- a/ferry/sse.go
+++ b/ferry/sse.go
@@ -12,20 +12,23 @@
 	return "event of over " + strconv.Itoa(e.Bytes) + " bytes"
 }
 
-// Events cuts a stream into whole events. Last is the id of the newest event given out.
+// Events cuts a stream into whole events; lines may end in CR LF, LF or CR.
 type Events struct {
-	Last string
-	// Skip leaves events out up to this id.
-	Skip  string
+	// Last is the id of the newest event given out, or that the client had seen before.
+	Last  string
 	Bound int
-	// Plain tells that an event without an id was given out after the last: nobody can go on from there.
+	// Plain tells that an event without an id was given out after the last that has one: nobody can go on from there.
 	Plain bool
-	buf   []byte
-	seen  int
-	start int
-	id    string
-	hasID bool
-	plain bool
+	// last becomes Last; events up to skip are left out.
+	last, skip []byte
+	buf        []byte
+	seen       int
+	start      int
+	// cr tells that the last line ended in a CR at the end of what has come, lone that a CR alone ended it.
+	cr, lone bool
+	id       []byte
+	hasID    bool
+	plain    bool
 }
 
 // Feed takes bytes of the stream and gives the whole events among them that are new; the result is valid until the next call.
@@ -33,54 +36,93 @@
 	e.buf = append(e.buf[:copy(e.buf, e.buf[e.start:])], p...)
 	e.seen, e.start = e.seen-e.start, 0
 	out := e.buf[:0]
-	for {
-		n := bytes.IndexByte(e.buf[e.seen:], '\n')
-		if n < 0 {
+	e.last = e.last[:0]
+	for e.seen < len(e.buf) {
+		if e.cr && e.buf[e.seen] == '\n' {
+			e.cr, e.lone = false, false
+			e.seen++
+			continue
+		}
+		e.cr = false
+		line, ok := e.line()
+		if !ok {
 			break
 		}
-		line := bytes.TrimSuffix(e.buf[e.seen:e.seen+n], []byte{'\r'})
-		e.seen += n + 1
 		if len(line) > 0 {
 			e.field(line)
 			continue
 		}
-		if !e.hasID || e.Skip == "" || after(e.id, e.Skip) {
+		if !e.hasID || len(e.skip) == 0 || after(e.id, e.skip) {
 			out = append(out, e.buf[e.start:e.seen]...)
 			if e.hasID {
-				e.Last, e.Plain = e.id, false
+				e.last, e.Plain = append(e.last[:0], e.id...), false
 			} else if e.plain {
 				e.Plain = true
 			}
 		}
 		e.start, e.hasID, e.plain = e.seen, false, false
 	}
+	if len(e.last) > 0 {
+		e.Last = string(e.last)
+	}
 	if len(e.buf)-e.start > e.Bound {
 		return nil, &EventError{Bytes: e.Bound}
 	}
 	return out, nil
 }
 
+// line gives the next whole line without its end. A CR that is the last byte so far ends a line only where the line before it ended in
+// a CR alone: else its LF is on the way, and an event is not to be cut in two.
+func (e *Events) line() (line []byte, ok bool) {
+	line = e.buf[e.seen:]
+	if n := bytes.IndexByte(line, '\n'); n >= 0 {
+		line, ok = line[:n], true
+	}
+	if n := bytes.IndexByte(line, '\r'); n >= 0 {
+		line, ok = line[:n], true
+	}
+	if !ok {
+		return nil, false
+	}
+	end := e.seen + len(line) + 1
+	if e.buf[end-1] != '\r' {
+		e.seen, e.lone = end, false
+		return line, true
+	}
+	if e.cr = end == len(e.buf); e.cr && !e.lone {
+		e.cr = false
+		return nil, false
+	}
+	if e.lone = e.cr || e.buf[end] != '\n'; !e.lone {
+		end++
+	}
+	e.seen = end
+	return line, true
+}
+
 // Rest is what came after the last whole event.
 func (e *Events) Rest() (tail []byte) { return e.buf[e.start:] }
 
 // Resume drops the rest and goes on with another replica's stream after the last event.
 func (e *Events) Resume() {
-	e.buf, e.seen, e.start, e.hasID, e.plain, e.Skip = e.buf[:0], 0, 0, false, false, e.Last
+	e.buf, e.seen, e.start, e.cr, e.lone, e.hasID, e.plain = e.buf[:0], 0, 0, false, false, false, false
+	e.skip = append(e.skip[:0], e.Last...)
 }
 
 func (e *Events) field(line []byte) {
 	name, value, _ := bytes.Cut(line, []byte{':'})
 	e.plain = e.plain || len(name) > 0
 	if string(name) == "id" {
-		e.id, e.hasID = string(bytes.TrimPrefix(value, []byte{' '})), true
+		e.id = append(e.id[:0], bytes.TrimPrefix(value, []byte{' '})...)
+		e.hasID = len(e.id) > 0
 	}
 }
 
-func after(id, last string) (yes bool) {
-	a, errA := strconv.ParseUint(id, 10, 64)
-	b, errB := strconv.ParseUint(last, 10, 64)
+func after(id, last []byte) (yes bool) {
+	a, errA := strconv.ParseUint(string(id), 10, 64)
+	b, errB := strconv.ParseUint(string(last), 10, 64)
 	if errA != nil || errB != nil {
-		return id != last
+		return !bytes.Equal(id, last)
 	}
 	return a > b
 }
--- a/ferry/stream_test.go
+++ b/ferry/stream_test.go
@@ -105,7 +105,7 @@
 	p.Retire()
 	r := call(t, url, "id2", "")
 	want(t, "second", r.body, "two")
-	want(t, "running", p.Running(), 0)
+	settled(t, p)
 	tb.Kill(nil)
 	want(t, "end", tb.Wait(), error(nil))
 }
--- a/ferry/transfer.go
+++ b/ferry/transfer.go
@@ -1,11 +1,8 @@
 package ferry
 
 import (
-	"context"
 	"errors"
 	"net/http"
-	"os"
-	"strconv"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge"
@@ -16,14 +13,20 @@
 	p        *Proxy
 	w        http.ResponseWriter
 	r        *http.Request
+	client   *client
 	body     []byte
+	share    share
 	arrived  time.Time
 	deadline time.Time
 	ex       Exchange
 	conn     *conn
+	reused   bool
 	release  func() (stopped bool)
 	resp     *http.Response
+	stream   bool
 	headed   bool
+	bounded  bool
+	buf      *buffer
 	events   Events
 }
 
@@ -67,6 +70,7 @@
 			x.finish(m)
 		}
 	}
+	x.ex.spent(moves)
 }
 
 func (x *transfer) tell(ev mallowbridge.Event) {
@@ -84,15 +88,18 @@
 	x.p.market.Tell(ev)
 }
 
-func (x *transfer) attempt() (id string) { return x.r.Header.Get(x.p.headers.Attempt) }
+func (x *transfer) attempt() (id string) { return first(x.r.Header, x.p.headers.Attempt) }
+
+func (x *transfer) repeatable() (yes bool) { return mayRepeat(x.ex.Place.Route) }
 
 func (x *transfer) connect() {
 	d := &x.ex.Place
-	c, err := x.p.pool.take(x.r.Context(), key{addr: d.Addr, instance: d.Instance}, d.Conns, x.attempt())
+	w := want{key: key{addr: d.Addr, instance: d.Instance}, conns: d.Conns, attempt: x.attempt(), repeatable: x.repeatable()}
+	c, err := x.p.pool.take(x.r.Context(), w)
 	var capped *CappedError
 	switch {
 	case err == nil:
-		x.conn = c
+		x.conn, x.reused = c, !c.until.IsZero()
 		x.happened(Connected{})
 	case x.r.Context().Err() != nil:
 		x.happened(HungUp{})
@@ -105,7 +112,7 @@
 	if c := x.conn; c != nil {
 		x.conn = nil
 		if !c.used {
-			c.until = time.Now().Add(x.p.set.Idle)
+			c.setIdle(nil, x.p.set)
 		}
 		x.p.pool.park(c)
 	}
@@ -122,6 +129,17 @@
 	}
 }
 
+// free gives back what the request held.
+func (x *transfer) free() {
+	x.drop()
+	putBuffer(x.buf)
+	x.buf = nil
+	x.share.give(x.share.held)
+	if x.bounded {
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Time{})
+	}
+}
+
 // expiry is when the time of the request is over; zero where nothing bounds it.
 func (x *transfer) expiry() (at time.Time) {
 	at = x.deadline
@@ -132,61 +150,3 @@
 	}
 	return at
 }
-
-func (x *transfer) exchange() {
-	expiry, now, limit := x.expiry(), time.Now(), time.Time{}
-	left := expiry.Sub(now).Milliseconds()
-	if !expiry.IsZero() {
-		if left <= 0 {
-			x.happened(Overdue{})
-			return
-		}
-		limit = expiry.Add(x.p.set.Grace)
-	}
-	c := x.conn
-	x.release = context.AfterFunc(x.r.Context(), func() { _ = c.nc.Close() })
-	_ = c.nc.SetDeadline(limit)
-	c.attempt = x.attempt()
-	if err := c.write(requestHead(x.r, len(x.body), x.anew(left)), x.body); err != nil {
-		x.lost(err)
-		return
-	}
-	resp, err := c.read(x.r, x.p.set.HeadBytes)
-	if err != nil {
-		x.lost(err)
-		return
-	}
-	x.resp = resp
-	x.happened(x.replied(resp))
-}
-
-func (x *transfer) anew(left int64) (set map[string]string) {
-	h, d := &x.p.headers, &x.ex.Place
-	set = map[string]string{}
-	if d.Instance != "" && h.Target != "" {
-		set[h.Target] = d.Instance
-	}
-	if !x.deadline.IsZero() {
-		set[h.Deadline] = strconv.FormatInt(left, 10)
-	}
-	if d.Route != nil && h.Rank != "" && x.r.Header[h.Rank] == nil {
-		set[h.Rank] = strconv.Itoa(d.Rank)
-	}
-	if d.Resumes && x.headed && x.events.Last != "" {
-		set[lastEvent] = x.events.Last
-	}
-	return set
-}
-
-// lost tells why a connection failed after the request was given to it.
-func (x *transfer) lost(err error) {
-	switch {
-	case x.r.Context().Err() != nil:
-		x.happened(HungUp{})
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.happened(Overdue{})
-	default:
-		x.drop()
-		x.happened(Lost{})
-	}
-}
