--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -6,10 +6,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -20,7 +18,6 @@
 
 	"github.com/mallowbridge/mallowbridge"
 	"github.com/mallowbridge/mallowbridge/charter"
-	"github.com/mallowbridge/mallowbridge/crux"
 	"github.com/mallowbridge/mallowbridge/ferry"
 	"github.com/mallowbridge/mallowbridge/gate"
 	"github.com/mallowbridge/mallowbridge/hearth"
@@ -105,7 +102,7 @@
 	limits := &atomic.Pointer[charter.Limits]{}
 	limits.Store(&charter.Limits{})
 	h.OnPicture(func(p *charter.Picture) { limits.Store(&p.Charter.Limits) })
-	p := ferry.New(h.Desk, headers(), ferry.Defaults(), func() charter.Limits { return *limits.Load() }, h.Front)
+	p := ferry.New(h.Desk, headers(), proxySettings(s), func() charter.Limits { return *limits.Load() }, h.Front)
 	retired := &atomic.Bool{}
 	if lis := listeners["front"]; lis != nil {
 		t.Go(func() error {
@@ -130,6 +127,15 @@
 	return err
 }
 
+// proxySettings lets requests and answers hold a quarter of the memory at most.
+func proxySettings(s platform.Settings) (set ferry.Settings) {
+	set = ferry.Defaults()
+	if mb := s.Machine.MemoryMB; mb > 0 {
+		set.Budget = min(set.Budget, mb<<20/4)
+	}
+	return set
+}
+
 func merged(all ...map[string]uint64) (one map[string]uint64) {
 	one = map[string]uint64{}
 	for _, c := range all {
@@ -188,60 +194,3 @@
 	h.Desk.Look(func(r *mallowbridge.Router) { why = r.Ready(hearth.Clock()) })
 	return why
 }
-
-func superviseNode(t *tomb.Tomb, h *hearth.Hearth, p *ferry.Proxy, file string, s platform.Settings, retired *atomic.Bool, lg *log.Logger) (err error) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	for {
-		select {
-		case <-t.Dying():
-			return t.Wait()
-		case sig := <-signals:
-			if sig == syscall.SIGHUP {
-				s = reload(h, file, s, lg)
-				continue
-			}
-			lg.Info().Msg("draining")
-			retired.Store(true)
-			p.Retire()
-			drainNode(h, p, s.Bounds.GracePeriod)
-			t.Kill(nil)
-			err = t.Wait()
-			lg.Info().Msg("stopped")
-			return err
-		}
-	}
-}
-
-// reload takes the seeds of a settings file that changed; what it was started with stays as it is.
-func reload(h *hearth.Hearth, file string, old platform.Settings, lg *log.Logger) (s platform.Settings) {
-	s, err := platform.ReadSettings(file)
-	if err != nil {
-		lg.Warn().Err(err).Msg("settings are flawed, the old ones stay")
-		return old
-	}
-	h.Call(crux.Seeds{Addrs: s.InternalSeeds()})
-	lg.Info().Msg("settings read anew")
-	return s
-}
-
-// drainNode lets user agents go elsewhere first, then hands in what this node does for others, and ends when nothing runs here.
-func drainNode(h *hearth.Hearth, p *ferry.Proxy, grace time.Duration) {
-	tick := time.NewTicker(50 * time.Millisecond)
-	defer tick.Stop()
-	end, leave := time.After(grace-grace/10), time.After(grace*3/5)
-	left := false
-	for {
-		select {
-		case <-end:
-			return
-		case <-leave:
-			left = true
-			h.Call(crux.Depart{})
-		case <-tick.C:
-			if left && p.Running() == 0 {
-				return
-			}
-		}
-	}
-}
--- /dev/null
+++ b/cmd/mallowbridge/supervise.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"gopkg.in/tomb.v2"
+
+	"github.com/mallowbridge/mallowbridge/crux"
+	"github.com/mallowbridge/mallowbridge/ferry"
+	"github.com/mallowbridge/mallowbridge/hearth"
+	"github.com/mallowbridge/mallowbridge/platform"
+)
+
+func superviseNode(t *tomb.Tomb, h *hearth.Hearth, p *ferry.Proxy, file string, s platform.Settings, retired *atomic.Bool, lg *log.Logger) (err error) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	for {
+		select {
+		case <-t.Dying():
+			return t.Wait()
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				s = reload(h, file, s, lg)
+				continue
+			}
+			lg.Info().Msg("draining")
+			retired.Store(true)
+			p.Retire()
+			drainNode(h, p, s.Bounds.GracePeriod)
+			t.Kill(nil)
+			err = t.Wait()
+			lg.Info().Msg("stopped")
+			return err
+		}
+	}
+}
+
+// reload takes the seeds of a settings file that changed; what it was started with stays as it is.
+func reload(h *hearth.Hearth, file string, old platform.Settings, lg *log.Logger) (s platform.Settings) {
+	s, err := platform.ReadSettings(file)
+	if err != nil {
+		lg.Warn().Err(err).Msg("settings are flawed, the old ones stay")
+		return old
+	}
+	h.Call(crux.Seeds{Addrs: s.InternalSeeds()})
+	lg.Info().Msg("settings read anew")
+	return s
+}
+
+// drainNode lets user agents go elsewhere first, then hands in what this node does for others, and ends when nothing runs here.
+func drainNode(h *hearth.Hearth, p *ferry.Proxy, grace time.Duration) {
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	end, leave := time.After(grace-grace/10), time.After(grace*3/5)
+	left := false
+	for {
+		select {
+		case <-end:
+			return
+		case <-leave:
+			left = true
+			h.Call(crux.Depart{})
+		case <-tick.C:
+			if left && p.Running() == 0 {
+				return
+			}
+		}
+	}
+}
