--- a/muse/muse.go
+++ b/muse/muse.go
@@ -28,6 +28,9 @@
 const warmUp = 15 * time.Second
 
 func (p Plan) scenario(seed uint64) (s stage.Scenario, err error) {
+	if spec, ok := stage.SiteOf(p.Shape, p.Rate); ok {
+		return p.site(seed, spec), nil
+	}
 	shape, _ := stage.Times(p.Shape, p.Times)
 	s = stage.Scenario{
 		Seed: seed, Shape: shape, Lasts: time.Duration(p.Seconds)*time.Second + warmUp, From: warmUp, Faults: p.Faults, Resend: true, IndexOff: !p.Index, RoundRob: p.Robin,
@@ -71,7 +74,11 @@
 		<-done
 	}
 	for _, w := range worlds {
-		for _, x := range rows(w) {
+		list := rows
+		if w.S.Site != nil {
+			list = siteRows
+		}
+		for _, x := range list(w) {
 			if !slices.Contains(r.Rows, x.name) {
 				r.Rows = append(r.Rows, x.name)
 			}
--- a/muse/plan.go
+++ b/muse/plan.go
@@ -71,8 +71,12 @@
 	}
 	p.Times = d.Int("times", 1, 1, 16)
 	shape, ok := stage.Times(p.Shape, p.Times)
-	if !ok {
-		d.Flaw(d.At("shape"), p.Shape, "tramites or atlas")
+	spec, site := stage.SiteOf(p.Shape, 0)
+	switch {
+	case site:
+		shape, p.Rate, p.Hot = spec.Shape, 0, 0
+	case !ok:
+		d.Flaw(d.At("shape"), p.Shape, "tramites, atlas, tramites site or atlas site")
 	}
 	p.Seconds, p.Seeds, p.First = d.Int("seconds", p.Seconds, 20, 3600), d.Int("seeds", p.Seeds, 1, 1000), d.Int("firstSeed", 1, 1, 1<<30)
 	p.Index, p.Robin = d.Bool("index", true), d.Bool("roundRobin", false)
@@ -84,9 +88,14 @@
 	}
 	l.Shut()
 	for _, f := range d.List("breakdowns", 0, 1024) {
-		p.Faults = append(p.Faults, breakdown(f, shape))
+		p.Faults = append(p.Faults, breakdown(f, shape, site))
 	}
-	if path := d.Str("config", false, 4096); path != "" {
+	if site && p.Times > 1 {
+		d.Flaw(d.At("times"), fmt.Sprint(p.Times), "1 for a site")
+	}
+	if path := d.Str("config", false, 4096); path != "" && site {
+		d.Flaw(d.At("config"), path, "absent for a site")
+	} else if path != "" {
 		if p.Config, err = os.ReadFile(path); err != nil {
 			d.Flaw(d.At("config"), path, "a file that can be read")
 		}
@@ -99,10 +108,14 @@
 	return time.Duration(d.Int(key, 0, 0, 3600000)) * time.Millisecond
 }
 
-func breakdown(d *charter.Desk, shape stage.Shape) (f stage.Fault) {
+func breakdown(d *charter.Desk, shape stage.Shape, site bool) (f stage.Fault) {
 	f = stage.Fault{At: ms(d, "atMs"), Kind: d.Str("kind", true, 32), For: time.Duration(d.Int("forMs", 3000, -1, 3600000)) * time.Millisecond}
-	if !slices.Contains(kinds(), f.Kind) {
-		d.Flaw(d.At("kind"), f.Kind, "one of "+strings.Join(kinds(), ", "))
+	all := kinds()
+	if site {
+		all = stage.SiteTroubles()
+	}
+	if !slices.Contains(all, f.Kind) {
+		d.Flaw(d.At("kind"), f.Kind, "one of "+strings.Join(all, ", "))
 	}
 	for i, e := range d.List("on", 0, 4096) {
 		name := e.Text(64)
@@ -120,6 +133,6 @@
 }
 
 func known(s stage.Shape, name string) (yes bool) {
-	return slices.Contains(s.Domains, name) || strings.HasPrefix(name, "r") ||
+	return slices.Contains(s.Domains, name) || slices.Contains(s.Others, name) || (len(s.Others) == 0 && strings.HasPrefix(name, "r")) ||
 		slices.ContainsFunc(s.Nodes, func(n stage.NodeShape) bool { return n.Name == name })
 }
--- a/stage/instance.go
+++ b/stage/instance.go
@@ -65,7 +65,12 @@
 	return i
 }
 
-func (i *Instance) chill() { i.chilled, i.coldTill = i.s.w.now, i.s.w.now+i.offer.ColdFor }
+func (i *Instance) chill() {
+	if i.s.w.now >= i.coldTill {
+		i.chilled = i.s.w.now
+	}
+	i.coldTill = i.s.w.now + i.offer.ColdFor
+}
 
 func (i *Instance) cold() (yes bool) {
 	return i.offer.ColdRate > 0 && i.s.w.now < i.coldTill
--- a/stage/nodedays.go
+++ b/stage/nodedays.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -50,6 +51,30 @@
 		{Name: "replicas crash while nodes are killed", Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
 			return append(each(Kill, 3, 5*sec, 2*sec, nodeNames(s.Shape), 2)(rng), each(RepCrash, 3, 4*sec, 2*sec, []string{s.Offers[0].Name}, 1)(rng)...)
 		}},
+		{Name: "a domain is lost", Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
+			d := s.Shape.Domains[rng.IntN(len(s.Shape.Domains))]
+			return []Fault{one(Power, 13*sec, 6*sec, namesIn(s.Shape, d)...), one(RepCrash, 13*sec, 6*sec, d), one(PutStorm, 14*sec, 4*sec)}
+		}},
+		{Name: "everything at once", Lasts: 50 * sec, Loss: 0.005, Faults: func(s SiteSpec, rng *rand.Rand) (fs []Fault) {
+			fs = append(fs, one(PutStorm, 11*sec, 30*sec), one(Empty, 18*sec, 8*sec, s.Shape.Domains[rng.IntN(len(s.Shape.Domains))]))
+			kinds := []string{Kill, Power, Freeze, CutNode, CutControl, ClockBack, RepCrash, RepDark, SlowDisk, StallDisk, Release, Burst, Garble}
+			hows := []string{"cut", "reset", "late", "junk", "silent"}
+			for at := 12 * sec; at < 42*sec; at += 2 * sec {
+				k, on := kinds[rng.IntN(len(kinds))], some(rng, nodeNames(s.Shape), 1)
+				switch k {
+				case RepCrash, RepDark, Release:
+					on = []string{s.Offers[rng.IntN(len(s.Offers))].Name}
+				case SlowDisk, StallDisk:
+					on = some(rng, disks(s), 1)
+				case Burst:
+					on = nil
+				case Garble:
+					on = some(rng, hows, 1)
+				}
+				fs = append(fs, one(k, at, time.Duration(1000+rng.IntN(4000))*ms, on...))
+			}
+			return fs
+		}},
 		{Name: "messages are lost", Loss: 0.02, Least: 0.95, Faults: func(s SiteSpec, _ *rand.Rand) []Fault {
 			return []Fault{one(PutStorm, 12*sec, 8*sec), one(Release, 13*sec, 0, s.Offers[0].Name)}
 		}},
@@ -78,6 +103,12 @@
 		{Name: "a disk is lost after the word, and all power", Lasts: 18 * sec, Close: func(s SiteSpec, rng *rand.Rand, _ string) []Fault {
 			return []Fault{one(AllDown, 0, sec), one(Wipe, 0, sec, some(rng, disks(s), 1)...)}
 		}},
+		{Name: "the node that gave its word loses its disk, the others their power", Lasts: 18 * sec, Close: func(s SiteSpec, rng *rand.Rand, acked string) []Fault {
+			if !slices.Contains(disks(s), acked) {
+				acked = some(rng, disks(s), 1)[0]
+			}
+			return []Fault{one(AllDown, 0, sec), one(Wipe, 0, sec, acked)}
+		}},
 		{Name: "evacuated, then all power is lost", Lasts: 18 * sec, Faults: func(s SiteSpec, rng *rand.Rand) []Fault {
 			return []Fault{one(Empty, 13*sec, 100*sec, s.Shape.Domains[0])}
 		}, Close: allDown},
--- a/stage/shape.go
+++ b/stage/shape.go
@@ -19,6 +19,8 @@
 	Offer   string
 	Kinds   []KindLoad
 	Charter []byte
+	// Others are what else faults may name: a site's offers and classes, and how answers are garbled.
+	Others []string
 }
 
 func Tramites() (s Shape) {
--- a/stage/sitefaults.go
+++ b/stage/sitefaults.go
@@ -26,7 +26,9 @@
 	case Kill, Power, Wipe, ClockBack, AllDown:
 		s.fell(f, ns)
 	case Move:
-		s.replace(ns[0], f.For)
+		for _, n := range ns {
+			s.replace(n, f.For)
+		}
 	case Freeze:
 		s.rules.harm(ns, f.For, false, false)
 		for _, n := range ns {
@@ -44,6 +46,7 @@
 		s.rules.harm(ns, f.For, false, 2*len(ns) > 3)
 		w.split(ns, f.For)
 	case SlowDisk, StallDisk, FullDisk:
+		ns = slices.DeleteFunc(ns, func(n *Node) bool { return n.Disk == nil })
 		s.rules.harm(ns, f.For, false, true)
 		for _, n := range ns {
 			n.slow, n.stall, n.Disk.Full = map[bool]time.Duration{true: 50 * time.Millisecond}[f.Kind == SlowDisk], f.Kind == StallDisk, f.Kind == FullDisk
@@ -57,8 +60,10 @@
 	case Upgrade:
 		s.roll(ns)
 	case Empty:
-		s.ops.evacuate(f.On[0], false)
-		w.after(f.For, func() { s.ops.evacuate(f.On[0], true) })
+		for _, domain := range f.On {
+			s.ops.evacuate(domain, false)
+			w.after(f.For, func() { s.ops.evacuate(domain, true) })
+		}
 	case PutStorm:
 		s.ops.change(w.now+f.For, 330*time.Millisecond, s.ops.vary)
 	case Change:
@@ -114,7 +119,7 @@
 	s.rules.harm([]*Node{old}, -1, false, false)
 	old.kill()
 	old.removed = true
-	fresh := newNode(w, len(w.Nodes), NodeShape{Name: old.Name + "b", Domain: old.Domain, Disk: true})
+	fresh := newNode(w, len(w.Nodes), NodeShape{Name: old.Name + "b", Domain: old.Domain, Disk: old.Disk != nil})
 	fresh.wall = 0
 	w.Nodes = append(w.Nodes, fresh)
 	w.after(d, func() { s.start(fresh) })
--- a/stage/sitereplicas.go
+++ b/stage/sitereplicas.go
@@ -19,7 +19,11 @@
 	case HotKey:
 		s.load.swells = append(s.load.swells, swell{from: w.now, until: w.now + f.For, class: 1, times: 1, hot: 0.28})
 	case RepCrash, RepDark, RepBlink:
-		for _, i := range s.chosen(f, 2) {
+		most := 2
+		if len(f.On) > 0 && slices.Contains(s.spec.Shape.Domains, f.On[0]) {
+			most = len(s.instances)
+		}
+		for _, i := range s.chosen(f, most) {
 			s.crash(i, f)
 		}
 	case Release:
@@ -34,7 +38,10 @@
 			s.launch(o, s.spec.Shape.Domains[k%len(s.spec.Shape.Domains)], s.address(o), o.Pace[k%len(o.Pace)], true)
 		}
 	case Garble:
-		how, every, on := f.On[0], 25, 6
+		how, every, on := "reset", 25, 6
+		if len(f.On) > 0 {
+			how = f.On[0]
+		}
 		if len(f.On) > 1 {
 			every, on = 1, len(s.instances)
 		}
@@ -45,13 +52,16 @@
 	}
 }
 
-// chosen picks replicas at random, of the offer that the fault names, or of any.
+// chosen picks replicas at random, of the offer or domain that the fault names, or of any.
 func (s *site) chosen(f Fault, n int) (is []*Instance) {
 	offer := ""
 	if len(f.On) > 0 {
 		offer = f.On[0]
 	}
 	is = s.alive(offer)
+	if slices.Contains(s.spec.Shape.Domains, offer) {
+		is = slices.DeleteFunc(s.alive(""), func(i *Instance) bool { return i.Domain != offer })
+	}
 	s.whim.Shuffle(len(is), func(i, j int) { is[i], is[j] = is[j], is[i] })
 	return is[:min(n, len(is))]
 }
--- a/stage/siteshape.go
+++ b/stage/siteshape.go
@@ -118,6 +118,41 @@
 	return s
 }
 
+// SiteOf finds a site by name, with all its traffic at so many requests a second, or at its own rate for 0.
+func SiteOf(name string, rate float64) (s SiteSpec, ok bool) {
+	switch name {
+	case "tramites site":
+		s = TramitesSite()
+	case "atlas site":
+		s = AtlasSite()
+	default:
+		return s, false
+	}
+	own := 0.0
+	for _, c := range s.Classes {
+		own += c.Rate
+	}
+	s.Shape.Others = []string{"cut", "junk", "surplus", "late", "reset", "silent", "all"}
+	for i := range s.Classes {
+		if rate > 0 {
+			s.Classes[i].Rate *= rate / own
+		}
+		s.Shape.Others = append(s.Shape.Others, s.Classes[i].Name)
+	}
+	for _, o := range s.Offers {
+		s.Shape.Others = append(s.Shape.Others, o.Name)
+	}
+	return s, true
+}
+
+// SiteTroubles are the kinds of fault that a site knows.
+func SiteTroubles() (kinds []string) {
+	return []string{
+		Kill, Power, Wipe, ClockBack, AllDown, Move, Freeze, CutNode, CutControl, SplitCore, SlowDisk, StallDisk, FullDisk, Upgrade, Empty, PutStorm, Change,
+		LargePuts, Race, BadPuts, ListDown, Burst, HotKey, RepCrash, RepDark, Release, ScaleIn, ScaleOut, Garble,
+	}
+}
+
 // siteNodes are machines over domains in turn, the first of each with a disk; three of those are the seeds.
 func siteNodes(name string, nodes, domains, disks int) (s Shape) {
 	s = Shape{Name: name}
--- a/stage/sitetraffic.go
+++ b/stage/sitetraffic.go
@@ -28,7 +28,13 @@
 func (s *site) traffic(until time.Duration) {
 	t := &s.load
 	t.s, t.rng = s, rand.New(rand.NewPCG(s.w.S.Seed, 61))
-	for i := range s.spec.Classes {
+	for i, c := range s.spec.Classes {
+		for _, x := range s.w.S.Load.Crowds {
+			t.swells = append(t.swells, swell{from: trafficFrom + x.From, until: trafficFrom + x.Until, class: i, times: x.Times})
+		}
+		if c.Streaming {
+			t.swells = append(t.swells, swell{until: until, class: i, times: 1, hot: s.w.S.Load.HotShare})
+		}
 		s.w.at(trafficFrom, func() { t.next(i, until) })
 	}
 }
