--- a/stage/sitefaults.go
+++ b/stage/sitefaults.go
@@ -178,7 +178,7 @@
 			w.after(300*time.Millisecond, n.start)
 			w.after(stopGap, func() { s.roll(ns[1:]) })
 			return
-		case !left && w.now-from > grace*2/5:
+		case !left && w.now-from > grace*3/5:
 			left = true
 			w.Call(n, crux.Depart{}, func(crux.Answer) {})
 		}
--- a/stage/sitenode.go
+++ b/stage/sitenode.go
@@ -37,9 +37,13 @@
 // turn gives the router an event and sees to it that it is woken when it needs the time.
 func (n *Node) turn(ev mallowbridge.Event) (ds []mallowbridge.Decision) {
 	ds = n.router.Step(n.local(), ev)
-	if n.w.site != nil {
-		n.arm()
+	if n.w.site == nil {
+		return ds
 	}
+	if f, any := n.router.Failures(n.local()); any {
+		n.later(0, func() { n.step(crux.Failed{Failures: f}) })
+	}
+	n.arm()
 	return ds
 }
 
