Rehearsal of streams: real node processes, replicas that break off at any byte, a judge

Change: package standin/rehearsal starts nodes of the platform as processes, lists stand-in replicas that speak its protocol (ids, Last-Event-Id, weights, breaks at any byte by FIN, reset or proper framing, surplus answers, refusals), releases and crashes them, kills and stops nodes, and has clients read usually, slowly, for a while, or by HTTP/1.0, and resume. ledger.CheckStreams judges what they got. Simulator: streams that end inside an event, two scenarios.

--- a/cmd/mallowbridge/main.go
+++ b/cmd/mallowbridge/main.go
@@ -32,6 +32,7 @@
 	nodes(app, cmds)
 	operators(app, cmds)
 	standIns(app, cmds)
+	streams(app, cmds)
 	tools(app, cmds)
 	whatIf(app, cmds)
 	recovery(app, cmds)
--- a/cmd/mallowbridge/standins.go
+++ b/cmd/mallowbridge/standins.go
@@ -125,9 +125,10 @@
 func (e *BreachError) Error() string { return fmt.Sprintf("%d breaches", e.N) }
 
 func check(app *kingpin.Application, cmds map[string]command) {
-	c := app.Command("check", "Compare the ledgers of stand-in replicas and clients.")
-	ran := c.Flag("ran", "Pattern of the replicas' ledgers.").Required().String()
-	got := c.Flag("got", "Pattern of the clients' ledgers.").Required().String()
+	c := app.Command("check", "Judge the ledgers of stand-in replicas and clients.")
+	ran := c.Flag("ran", "Pattern of the replicas' ledgers.").String()
+	got := c.Flag("got", "Pattern of the clients' ledgers.").String()
+	answers := c.Flag("streams", "Pattern of the ledgers of streaming clients.").String()
 	cmds["check"] = func(_ io.Reader, out io.Writer) error {
 		gots, err := lines[ledger.Got](*got)
 		if err != nil {
@@ -137,15 +138,15 @@
 		if err != nil {
 			return err
 		}
-		bs := ledger.Check(rans, gots)
-		for _, b := range bs {
-			fmt.Fprintln(out, b)
+		streamed, err := lines[ledger.StreamAnswer](*answers)
+		if err != nil {
+			return err
 		}
-		fmt.Fprintf(out, "%d runs, %d outcomes, %d breaches\n", len(rans), len(gots), len(bs))
-		if len(bs) > 0 {
-			return trace.Wrap(&BreachError{N: len(bs)})
+		if len(gots)+len(streamed) == 0 {
+			return trace.BadParameter("no ledger of a client has a line: --got or --streams")
 		}
-		return nil
+		counts := fmt.Sprintf("%d runs, %d streams, %d outcomes, ", len(rans), len(streamed), len(gots))
+		return reportBreaches(out, counts, append(ledger.Check(rans, gots), ledger.CheckStreams(streamed)...))
 	}
 }
 
--- /dev/null
+++ b/cmd/mallowbridge/streams.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/mallowbridge/mallowbridge/ledger"
+	"github.com/mallowbridge/mallowbridge/standin"
+	"github.com/mallowbridge/mallowbridge/standin/rehearsal"
+)
+
+// streamLedger is the name of the clients' ledger in the folder of a rehearsal.
+const streamLedger = "streams.jsonl"
+
+// RaceError says that the race detector found something in a node.
+type RaceError struct {
+	N   int
+	Dir string
+}
+
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("%d data races, see the logs in %s", e.N, e.Dir)
+}
+
+// streams rehearses streams through real node processes.
+func streams(app *kingpin.Application, cmds map[string]command) {
+	c := app.Command("streams", "Run nodes of the platform as processes, break what is around them, and judge the streams that clients get.")
+	o := rehearsal.Options{Faults: rehearsal.DefaultFaults()}
+	c.Flag("dir", "Folder for settings, disks, logs and the ledger; made where there is none.").Default(".fleet/streams").StringVar(&o.Dir)
+	c.Flag("seed", "Seed of faults and load.").Default("1").Uint64Var(&o.Seed)
+	c.Flag("for", "How long clients ask.").Default("60s").DurationVar(&o.For)
+	c.Flag("nodes", "Node processes, 3 to 15; the first three have a disk.").Default("5").IntVar(&o.Nodes)
+	c.Flag("replicas", "Stand-in replicas.").Default("6").IntVar(&o.Replicas)
+	c.Flag("clients", "Clients that ask at once.").Default("32").IntVar(&o.Clients)
+	cmds["streams"] = func(_ io.Reader, out io.Writer) error { return rehearseStreams(o, out) }
+}
+
+func rehearseStreams(o rehearsal.Options, out io.Writer) error {
+	var err error
+	if o.Dir, err = filepath.Abs(o.Dir); err != nil {
+		return trace.Wrap(err)
+	}
+	if err = os.MkdirAll(o.Dir, 0o755); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if o.Binary, err = os.Executable(); err != nil {
+		return trace.Wrap(err)
+	}
+	if o.Ledger, err = standin.OpenRunLog(filepath.Join(o.Dir, streamLedger)); err != nil {
+		return err
+	}
+	r, err := rehearsal.Run(o)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	counts := fmt.Sprintf("%d answers, %d complete, %d resumed by their clients; %d kills, %d stops, %d releases, %d crashes, ",
+		r.Answers, r.Complete, r.Resumed, r.Kills, r.Stops, r.Releases, r.Crashes)
+	if r.Races > 0 {
+		return trace.Wrap(&RaceError{N: r.Races, Dir: o.Dir})
+	}
+	return reportBreaches(out, counts, r.Breaches)
+}
+
+// reportBreaches lists breaches, then what was counted; there being any breach is an error.
+func reportBreaches(out io.Writer, counts string, breaches []ledger.Breach) error {
+	for _, b := range breaches {
+		fmt.Fprintln(out, b)
+	}
+	fmt.Fprintf(out, "%s%d breaches\n", counts, len(breaches))
+	if len(breaches) > 0 {
+		return trace.Wrap(&BreachError{N: len(breaches)})
+	}
+	return nil
+}
--- a/sim/answers.go
+++ b/sim/answers.go
@@ -8,6 +8,9 @@
 	"github.com/mallowbridge/mallowbridge/sim/engine"
 )
 
+// endsInsideEvent is the fault of a stream that ends with proper framing in the middle of an event.
+const endsInsideEvent = "inside"
+
 // job makes the request's work; what is taken up is read as a longer prompt.
 func (i *Instance) job(k *socket, r *sentRequest) *engine.Job {
 	q := r.try.request
@@ -16,7 +19,7 @@
 	run := fmt.Sprintf("%s.%d", i.ID, i.engine.Seq+1)
 	headed := false
 	bad := ""
-	if g := i.garble; g.every > 0 && i.s.rng.IntN(g.every) == 0 {
+	if g := i.garble; g.every > 0 && i.s.rng.IntN(g.every) == 0 && (g.how != endsInsideEvent || q.class.Streaming) {
 		bad = g.how
 	}
 	at := 0
@@ -67,6 +70,8 @@
 		return true
 	case "cut":
 		p.data, p.end, p.reset = p.data[:len(p.data)/2], false, true
+	case endsInsideEvent:
+		p.data, p.end = p.data[:len(p.data)/2], true
 	case "reset":
 		p = packet{reset: true}
 	case "junk":
--- a/sim/instance.go
+++ b/sim/instance.go
@@ -33,7 +33,7 @@
 
 type arrival struct{ sent, at time.Duration }
 
-// A garble spoils the share of answers that Every gives: how is cut, junk, surplus, late, reset or silent.
+// A garble spoils the share of answers that Every gives: how is cut, inside, junk, surplus, late, reset or silent.
 type garbling struct {
 	every int
 	how   string
--- a/sim/proxyrequestend.go
+++ b/sim/proxyrequestend.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/mallowbridge/mallowbridge/proxy"
@@ -28,6 +29,9 @@
 
 func (t *proxyRequest) flow(p packet) {
 	complete, err := t.events.Feed(p.data)
+	if err == nil && p.end && t.events.Unfinished() {
+		err = io.ErrUnexpectedEOF
+	}
 	ended := err == nil && p.end
 	if ended {
 		complete = append(complete[:len(complete):len(complete)], t.events.Rest()...)
--- a/sim/sitescenarios.go
+++ b/sim/sitescenarios.go
@@ -99,7 +99,19 @@
 
 // SiteScenarios are all days that the tests play.
 func SiteScenarios() []SiteScenario {
-	return append(append(replicaScenarios(), nodeScenarios()...), orderScenarios()...)
+	return append(append(append(replicaScenarios(), nodeScenarios()...), orderScenarios()...), streamScenarios()...)
+}
+
+// streamScenarios break streams in ways that a replica's framing doesn't show.
+func streamScenarios() []SiteScenario {
+	inside := one(GarbleAnswers, 12*sec, 12*sec, endsInsideEvent)
+	return []SiteScenario{
+		{Name: "streams end inside an event", Faults: fixedFaults(inside)},
+		{Name: "streams end inside an event in a release", Faults: func(s SiteSpec, _ *rand.Rand) []Fault {
+			service := s.Services[0].Name
+			return []Fault{inside, one(Release, 13*sec, 0, service), one(ReplicaCrash, 16*sec, 3*sec, service)}
+		}},
+	}
 }
 
 func replicaScenarios() []SiteScenario {
