Rehearsal: operators change and read the configuration meanwhile; stalled writes keep their order

An operator puts one revision after the other at any node, three read at any node; a read older than what was acknowledged or read before it was asked for is a breach. TestStalledWritesKeepTheirOrder lets writes to a client time out inside events; it fails where the bytes written before the time-out are sent again.

--- a/ledger/check.go
+++ b/ledger/check.go
@@ -36,6 +36,10 @@
 	Truncated = "partial that looks complete"
 	// Unrun: an answer that is called whole has no run.
 	Unrun = "done without a run"
+	// WentBack: a configuration was read that is older than one acknowledged or read before.
+	WentBack = "number went back"
+	// RefusedOrder: an order on the newest revision was refused.
+	RefusedOrder = "order refused"
 	// Reused: two runs have one attempt id.
 	Reused = "one id for two gos"
 )
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -1,9 +1,11 @@
 package proxy_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"syscall"
@@ -72,6 +74,38 @@
 	want(t, "cut", p.Counters.Hangups.Load(), 0)
 }
 
+// TestStalledWritesKeepTheirOrder lets writes to a client time out in the middle of events, again and again: each byte comes once.
+func TestStalledWritesKeepTheirOrder(t *testing.T) {
+	set := proxy.Defaults()
+	set.Stall = 40 * time.Millisecond
+	var all []string
+	for id := range 400 {
+		all = append(all, fmt.Sprintf("id: %d\ndata: %s\n\n", id+1, strings.Repeat(fmt.Sprint(id%10), 10000)))
+	}
+	p, addr := front(t, newStubRouter(partial, newReplica(t, stream(true, all...)).place(streams)), set, config.Limits{})
+	u := narrow(t, addr)
+	u.ask(t, "GET", "id1", "X-Wait-Ms: 60000\r\n", "")
+	tick := time.NewTicker(set.Stall * 5 / 4)
+	defer tick.Stop()
+	var text strings.Builder
+	for range 25 {
+		<-tick.C
+		if _, err := io.CopyN(&text, u, 8<<10); err != nil {
+			t.Fatal(err)
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader(text.String()), u)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	want(t, "error", err, error(nil))
+	if string(body) != strings.Join(all, "") {
+		t.Errorf("%d bytes of %d, or others", len(body), len(strings.Join(all, "")))
+	}
+	waitIdle(t, p)
+}
+
 // TestSlowReaderEndsWithItsRequest: a replica's place is not held for longer than the request lives.
 func TestSlowReaderEndsWithItsRequest(t *testing.T) {
 	set := proxy.Defaults()
--- a/standin/rehearsal/fleet.go
+++ b/standin/rehearsal/fleet.go
@@ -3,12 +3,11 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -184,25 +183,24 @@
 
 // Configure puts the first configuration, at any node that takes it.
 func (f *Fleet) Configure(within time.Duration) error {
-	var last string
+	var said string
 	for i, end := 0, time.Now().Add(within); time.Now().Before(end); i++ {
-		req, err := http.NewRequest(http.MethodPut, "http://"+f.control(i%len(f.nodes))+"/configuration", strings.NewReader(configuration))
-		if err != nil {
-			return err
-		}
-		req.Header.Set("If-Match", "0")
-		resp, err := (&http.Client{Timeout: 2 * time.Second}).Do(req)
-		if err == nil {
-			said, _ := io.ReadAll(resp.Body)
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
-			last = string(said)
+		var status int
+		if status, said = put(f.control(i%len(f.nodes)), 1); status == http.StatusOK {
+			return nil
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	return &ConfigurationError{Answer: last}
+	return &ConfigurationError{Answer: said}
+}
+
+// Controls are the addresses that take operators' calls.
+func (f *Fleet) Controls() []string {
+	var all []string
+	for i := range f.nodes {
+		all = append(all, f.control(i))
+	}
+	return all
 }
 
 // ConfigurationError says that no node took the configuration; Answer is the last one's.
@@ -223,8 +221,11 @@
 // host is the name under which clients ask.
 const host = "streams.example"
 
-const configuration = `{"revision":1,"routes":[{"name":"streams","hostname":"` + host + `","pathPrefix":"/streams/","routeType":"streaming","timeoutMs":20000,
+// configuration is the document of a revision; they differ in nothing else.
+func configuration(revision uint64) string {
+	return `{"revision":` + strconv.FormatUint(revision, 10) + `,"routes":[{"name":"streams","hostname":"` + host + `","pathPrefix":"/streams/","routeType":"streaming","timeoutMs":20000,
 "targetLatencyMs":1000,"priority":0,"targetService":"` + service + `","maxAttempts":3,"sessionAffinity":true,"streamResume":true,"targetGapMs":400}],
 "services":[{"name":"` + service + `","healthCheckPath":"/health","maxConnections":400,"protocol":"h1","tlsEnabled":false,"warmupS":0.0,"warmupPerS":0.0,
 "engine":{"capacitySlots":64,"kvCacheTokens":729140,"kvTokenBytes":18432,"linkMbps":370000.0,"stride":6,"models":[{"name":"m"}]}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+}
--- /dev/null
+++ b/standin/rehearsal/operator.go
@@ -0,0 +1,109 @@
+package rehearsal
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/ledger"
+)
+
+// callTime bounds one call of an operator.
+const callTime = 2 * time.Second
+
+// operators change the configuration and read it, at any node.
+type operators struct {
+	controls []string
+	seed     uint64
+	// acknowledged is the newest revision that a node has acknowledged.
+	acknowledged atomic.Uint64
+	breaches     chan ledger.Breach
+	reads        atomic.Uint64
+}
+
+// readers is how many operators read at once.
+const readers = 3
+
+// run changes and reads until the end.
+func (o *operators) run(end time.Time) {
+	var all sync.WaitGroup
+	all.Go(func() { o.write(end) })
+	for n := range uint64(readers) {
+		all.Go(func() { o.read(end, rand.New(rand.NewPCG(o.seed, operatorCalls+1+n))) })
+	}
+	all.Wait()
+	close(o.breaches)
+}
+
+// write puts one revision after the other; a call without a clear answer is sent again as it was, to another node.
+func (o *operators) write(end time.Time) {
+	rng := rand.New(rand.NewPCG(o.seed, operatorCalls))
+	for revision := o.acknowledged.Load() + 1; time.Now().Before(end); {
+		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
+		status, said := put(o.controls[rng.IntN(len(o.controls))], revision)
+		switch status {
+		case http.StatusOK:
+			o.acknowledged.Store(revision)
+			revision++
+		case http.StatusPreconditionFailed, http.StatusBadRequest:
+			o.breaches <- ledger.Breach{What: ledger.RefusedOrder, Request: strconv.FormatUint(revision, 10), Detail: said}
+			return
+		}
+	}
+}
+
+// read holds each answer against what was acknowledged, and what was read, before it was asked for.
+func (o *operators) read(end time.Time, rng *rand.Rand) {
+	var newest uint64
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(rng.IntN(40)) * time.Millisecond)
+		control := o.controls[rng.IntN(len(o.controls))]
+		floor := max(newest, o.acknowledged.Load())
+		revision, known := get(control)
+		if !known {
+			continue
+		}
+		o.reads.Add(1)
+		if revision < floor {
+			o.breaches <- ledger.Breach{What: ledger.WentBack, Request: control, Detail: fmt.Sprintf("revision %d, after %d", revision, floor)}
+		}
+		newest = max(newest, revision)
+	}
+}
+
+// put sends a revision on top of the one before; status 0 where there was no answer.
+func put(control string, revision uint64) (int, string) {
+	req, err := http.NewRequest(http.MethodPut, "http://"+control+"/configuration", strings.NewReader(configuration(revision)))
+	if err != nil {
+		return 0, err.Error()
+	}
+	req.Header.Set("If-Match", strconv.FormatUint(revision-1, 10))
+	resp, err := (&http.Client{Timeout: callTime}).Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	said, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(said)
+}
+
+// get reads the revision of the configuration; false where the node does not tell it.
+func get(control string) (uint64, bool) {
+	resp, err := (&http.Client{Timeout: callTime}).Get("http://" + control + "/configuration")
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	var document struct {
+		Revision uint64 `json:"revision"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&document)
+	return document.Revision, err == nil && resp.StatusCode == http.StatusOK
+}
--- a/standin/rehearsal/run.go
+++ b/standin/rehearsal/run.go
@@ -34,7 +34,9 @@
 	Kills, Stops, Releases, Crashes int
 	// Races are the reports of the race detector in the nodes' logs.
 	Races int
-	// Breaches are those of the answers.
+	// Revisions were acknowledged to the operator, Reads of the configuration answered.
+	Revisions, Reads uint64
+	// Breaches are those of the answers and of the configuration.
 	Breaches []ledger.Breach
 }
 
@@ -46,6 +48,9 @@
 	startTime  = 30 * time.Second
 )
 
+// maxBreaches is how many breaches of the configuration may wait to be read.
+const maxBreaches = 1 << 16
+
 // rehearsal is a run under way.
 type rehearsal struct {
 	Options
@@ -70,10 +75,17 @@
 	if err = r.start(); err != nil {
 		return r.report, err
 	}
-	err = r.serve()
+	end := time.Now().Add(o.For)
+	operators := &operators{controls: r.fleet.Controls(), seed: o.Seed, breaches: make(chan ledger.Breach, maxBreaches)}
+	operators.acknowledged.Store(1)
+	go operators.run(end)
+	err = r.serve(end)
+	for b := range operators.breaches {
+		r.report.Breaches = append(r.report.Breaches, b)
+	}
 	r.fleet.Stop()
-	r.report.Races = r.fleet.Races()
-	r.report.Breaches = ledger.CheckStreams(r.answers)
+	r.report.Revisions, r.report.Reads, r.report.Races = operators.acknowledged.Load(), operators.reads.Load(), r.fleet.Races()
+	r.report.Breaches = append(r.report.Breaches, ledger.CheckStreams(r.answers)...)
 	return r.report, err
 }
 
@@ -95,9 +107,8 @@
 }
 
 // serve lets the clients ask while faults strike, and takes in the answers.
-func (r *rehearsal) serve() error {
+func (r *rehearsal) serve(end time.Time) error {
 	answers, done := make(chan ledger.StreamAnswer), make(chan struct{})
-	end := time.Now().Add(r.For)
 	var clients sync.WaitGroup
 	for n := range r.Clients {
 		c := NewClient(n, r.Seed, r.fleet.Fronts())
@@ -150,6 +161,7 @@
 const (
 	nodeFaults = 1<<32 + iota
 	replicaFaults
+	operatorCalls
 )
 
 func (*rehearsal) strikeEach(end time.Time, rng *rand.Rand, one func(rng *rand.Rand) error) error {
