--- a/sim/nodescenarios.go
+++ b/sim/nodescenarios.go
@@ -120,7 +120,7 @@
 			return []Fault{one(Kill, 0, sec, nodeNames(s.Shape)...)}
 		}},
 		{Name: "a disk is lost after the word, and all power", Lasts: 18 * sec, Close: func(s SiteSpec, rng *rand.Rand, _ string) []Fault {
-			return []Fault{one(AllDown, 0, sec), one(Wipe, 0, sec, some(rng, disks(s), 1)...)}
+			return []Fault{one(AllDown, 0, sec), one(Wipe, 0, sec, some(rng, disks(s), s.FaultTolerance)...)}
 		}},
 		{Name: "the node that gave its word loses its disk, the others their power", Lasts: 18 * sec, Close: func(s SiteSpec, rng *rand.Rand, acked string) []Fault {
 			if !slices.Contains(disks(s), acked) {
