--- a/cmd/mallowbridge/streams.go
+++ b/cmd/mallowbridge/streams.go
@@ -58,8 +58,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	counts := fmt.Sprintf("%d answers, %d complete, %d resumed by their clients; %d kills, %d stops, %d releases, %d crashes; %d revisions, read %d times, ",
-		r.Answers, r.Complete, r.Resumed, r.Kills, r.Stops, r.Releases, r.Crashes, r.Revisions, r.Reads)
+	counts := fmt.Sprintf("%d answers, %d complete, %d resumed by their clients; %d kills, %d stops, %d freezes, %d releases, %d crashes; %d revisions, read %d times, ",
+		r.Answers, r.Complete, r.Resumed, r.Kills, r.Stops, r.Freezes, r.Releases, r.Crashes, r.Revisions, r.Reads)
 	if r.Races > 0 {
 		return trace.Wrap(&RaceError{N: r.Races, Dir: o.Dir})
 	}
--- a/ledger/streams.go
+++ b/ledger/streams.go
@@ -15,6 +15,8 @@
 	// After is the id of the newest event that the client had before, 0 for none; Total is how many events the request is to bring.
 	After int `json:"after"`
 	Total int `json:"total"`
+	// Resumable tells that events of several runs may follow each other.
+	Resumable bool `json:"resumable"`
 	// Events are those that ended, in the order in which they came.
 	Events []StreamEvent `json:"events"`
 	// Complete tells that the answer ended as complete, Torn that bytes stood behind its last event.
@@ -28,13 +30,24 @@
 	Text string `json:"text"`
 }
 
-// StreamText is the text of event id of a request, as stand-in replicas with weights of that version write it.
-func StreamText(request string, weights uint64, id int) string {
-	return request + "|" + strconv.FormatUint(weights, 10) + "|" + strconv.Itoa(id)
+// StreamText is the text of event id of a request, as stand-in replicas with weights of that version write it in one run.
+func StreamText(request string, weights uint64, run string, id int) string {
+	return request + "|" + strconv.FormatUint(weights, 10) + "|" + run + "|" + strconv.Itoa(id)
+}
+
+// streamText is a StreamText taken apart.
+type streamText struct{ request, weights, run, id string }
+
+func parseStreamText(text string) (streamText, bool) {
+	f := strings.Split(text, "|")
+	if len(f) != 4 {
+		return streamText{}, false
+	}
+	return streamText{request: f[0], weights: f[1], run: f[2], id: f[3]}, true
 }
 
 // CheckStreams gives the first breach of each answer: an event missing, twice or of another request, events of two versions of the weights
-// in one answer, or an end as complete before the last event.
+// in one answer, of two runs where it can't be resumed, or an end as complete before the last event.
 func CheckStreams(answers []StreamAnswer) []Breach {
 	var breaches []Breach
 	for i := range answers {
@@ -49,16 +62,16 @@
 	breach := func(what, format string, args ...any) (Breach, bool) {
 		return Breach{What: what, Request: a.Request, Detail: fmt.Sprintf("by %s: ", a.Node) + fmt.Sprintf(format, args...)}, true
 	}
-	last, weights := a.After, ""
-	for _, e := range a.Events {
-		f := strings.Split(e.Text, "|")
-		if len(f) != 3 || f[0] != a.Request || f[2] != e.ID {
+	last, before := a.After, streamText{}
+	for i, e := range a.Events {
+		text, readable := parseStreamText(e.Text)
+		if !readable || text.request != a.Request || text.id != e.ID {
 			return breach(Mixed, "event %q says %q", e.ID, e.Text)
 		}
-		if weights != "" && f[1] != weights {
-			return breach(Spliced, "event %s is of weights %s, those before of %s", e.ID, f[1], weights)
+		if i > 0 && (text.weights != before.weights || (text.run != before.run && !a.Resumable)) {
+			return breach(Spliced, "event %s is of run %s, weights %s, those before of %s, %s", e.ID, text.run, text.weights, before.run, before.weights)
 		}
-		weights = f[1]
+		before = text
 		if e.ID != strconv.Itoa(last+1) {
 			return breach(Gap, "event %s after %d", e.ID, last)
 		}
--- a/standin/rehearsal/client.go
+++ b/standin/rehearsal/client.go
@@ -51,18 +51,19 @@
 
 // Ask sends one request until it is whole or the tries are spent, and has each answer taken.
 func (c *Client) Ask(number int, take func(ledger.StreamAnswer)) {
+	path := []string{resumablePath, oncePath, plainPath}[c.rng.IntN(3)]
 	request, total, after := c.name+"-"+strconv.Itoa(number), 1+c.rng.IntN(maxEvents), 0
 	for range maxTries {
-		a := ledger.StreamAnswer{AtMs: time.Now().UnixMilli(), Node: c.fronts[c.rng.IntN(len(c.fronts))], Request: request, After: after, Total: total}
+		a := ledger.StreamAnswer{AtMs: time.Now().UnixMilli(), Node: c.fronts[c.rng.IntN(len(c.fronts))], Request: request, After: after, Total: total, Resumable: path == resumablePath}
 		how := manner(c.rng.IntN(int(manners)))
-		answered := c.try(&a, how)
+		answered := c.try(&a, path, how)
 		if answered {
 			take(a)
 		}
-		if a.Complete || how == leaving {
+		if a.Complete || how == leaving || (answered && path == oncePath) {
 			return
 		}
-		if n := len(a.Events); n > 0 {
+		if n := len(a.Events); n > 0 && a.Resumable {
 			after, _ = strconv.Atoi(a.Events[n-1].ID)
 		}
 		time.Sleep(time.Duration(c.rng.IntN(50)) * time.Millisecond)
@@ -70,7 +71,7 @@
 }
 
 // try sends a request once on a connection of its own; false where there was no stream.
-func (c *Client) try(a *ledger.StreamAnswer, how manner) bool {
+func (c *Client) try(a *ledger.StreamAnswer, path string, how manner) bool {
 	conn, err := net.DialTimeout("tcp", a.Node, time.Second)
 	if err != nil {
 		return false
@@ -78,7 +79,7 @@
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(deadline))
 	c.tries++
-	if _, err = io.WriteString(conn, c.head(a, how)); err != nil {
+	if _, err = io.WriteString(conn, c.head(a, path, how)); err != nil {
 		return false
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
@@ -89,12 +90,12 @@
 	return true
 }
 
-func (c *Client) head(a *ledger.StreamAnswer, how manner) string {
+func (c *Client) head(a *ledger.StreamAnswer, path string, how manner) string {
 	protocol := "HTTP/1.1"
 	if how == old {
 		protocol = "HTTP/1.0"
 	}
-	head := fmt.Sprintf("POST /streams/%s %s\r\nHost: %s\r\nContent-Length: 2\r\n", c.name, protocol, host)
+	head := fmt.Sprintf("POST %s%s %s\r\nHost: %s\r\nContent-Length: 2\r\n", path, c.name, protocol, host)
 	for _, field := range [][2]string{
 		{platform.HeaderAttempt, fmt.Sprintf("%s-%d", c.name, c.tries)}, {headerRequest, a.Request}, {platform.HeaderModel, "m"},
 		{platform.HeaderTokens, fmt.Sprintf("100,%d", a.Total)}, {platform.HeaderPrefix, "5c1e07a2:60,91bd3f06:40"},
--- a/standin/rehearsal/fleet.go
+++ b/standin/rehearsal/fleet.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"syscall"
 	"time"
 )
@@ -144,6 +143,14 @@
 	}
 }
 
+// Freeze has a node stand still for a while.
+func (f *Fleet) Freeze(i int, d time.Duration) {
+	process := f.nodes[i].process.Process
+	_ = process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	_ = process.Signal(syscall.SIGCONT)
+}
+
 // Stop ends all nodes that run.
 func (f *Fleet) Stop() {
 	for i, n := range f.nodes {
@@ -217,15 +224,3 @@
 	}
 	return all
 }
-
-// host is the name under which clients ask.
-const host = "streams.example"
-
-// configuration is the document of a revision; they differ in nothing else.
-func configuration(revision uint64) string {
-	return `{"revision":` + strconv.FormatUint(revision, 10) + `,"routes":[{"name":"streams","hostname":"` + host + `","pathPrefix":"/streams/","routeType":"streaming","timeoutMs":20000,
-"targetLatencyMs":1000,"priority":0,"targetService":"` + service + `","maxAttempts":3,"sessionAffinity":true,"streamResume":true,"targetGapMs":400}],
-"services":[{"name":"` + service + `","healthCheckPath":"/health","maxConnections":400,"protocol":"h1","tlsEnabled":false,"warmupS":0.0,"warmupPerS":0.0,
-"engine":{"capacitySlots":64,"kvCacheTokens":729140,"kvTokenBytes":18432,"linkMbps":370000.0,"stride":6,"models":[{"name":"m"}]}}],
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
-}
--- a/standin/rehearsal/rehearsal_test.go
+++ b/standin/rehearsal/rehearsal_test.go
@@ -31,7 +31,7 @@
 			defer r.Stop()
 			client := NewClient(1, 2, []string{r.Addr})
 			a := ledger.StreamAnswer{Node: r.Addr, Request: "a", Total: 5}
-			if answered := client.try(&a, usual); answered != c.answered || a.Complete != c.complete || a.Torn != c.torn {
+			if answered := client.try(&a, resumablePath, usual); answered != c.answered || a.Complete != c.complete || a.Torn != c.torn {
 				t.Errorf("answered %v: %+v", answered, a)
 			}
 			if c.answered && !c.torn && len(ledger.CheckStreams([]ledger.StreamAnswer{a})) > 0 {
@@ -49,7 +49,7 @@
 	}
 	defer r.Stop()
 	a := ledger.StreamAnswer{Node: r.Addr, Request: "a", Total: 5}
-	NewClient(1, 2, []string{r.Addr}).try(&a, usual)
+	NewClient(1, 2, []string{r.Addr}).try(&a, resumablePath, usual)
 	if found := ledger.CheckStreams([]ledger.StreamAnswer{a}); len(found) != 1 || found[0].What != ledger.Truncated {
 		t.Errorf("%v", found)
 	}
--- a/standin/rehearsal/replica.go
+++ b/standin/rehearsal/replica.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -107,23 +108,40 @@
 	rng := rand.New(rand.NewPCG(r.seed, r.served.Add(1)))
 	h.Set(platform.HeaderSeal, r.Instance+"."+strconv.FormatUint(r.served.Load(), 10))
 	h.Set(platform.HeaderWeightVersions, strconv.FormatUint(r.Weights, 10))
-	h.Set("Content-Type", "text/event-stream")
-	switch kind := r.faults.draw(rng); kind {
+	h.Set("Content-Type", contentType(q))
+	events := r.events(q, h.Get(platform.HeaderSeal))
+	switch kind := r.drawFault(rng, q); kind {
 	case sound:
-		r.stream(w, rng, r.events(q))
+		r.stream(w, rng, events)
 	case refuse:
 		h.Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case cutFramed:
-		events := r.events(q)
-		if last := len(events) - 1; last >= 0 {
+		if len(events) > 0 {
 			cut := rng.IntN(len(events))
 			events = append(events[:cut:cut], events[cut][:1+rng.IntN(len(events[cut])-2)])
 		}
 		r.stream(w, rng, events)
 	default:
-		r.spoil(w, rng, kind, r.events(q))
+		r.spoil(w, rng, kind, events)
+	}
+}
+
+// contentType is that of an event stream, but for requests of plainPath.
+func contentType(q *http.Request) string {
+	if strings.HasPrefix(q.URL.Path, plainPath) {
+		return "text/plain"
+	}
+	return "text/event-stream"
+}
+
+// drawFault draws what happens to an answer. Of one that is no stream nobody can see that it ends too early with proper framing.
+func (r *Replica) drawFault(rng *rand.Rand, q *http.Request) fault {
+	kind := r.faults.draw(rng)
+	if kind == cutFramed && strings.HasPrefix(q.URL.Path, plainPath) {
+		return sound
 	}
+	return kind
 }
 
 // misdirected tells whether the request is for another instance, or for other weights.
@@ -133,12 +151,12 @@
 }
 
 // events are those of the answer behind the one that the request names, if any.
-func (r *Replica) events(q *http.Request) []string {
+func (r *Replica) events(q *http.Request, run string) []string {
 	_, total := platform.ParseTokens(q.Header.Get(platform.HeaderTokens))
 	after, _ := strconv.Atoi(q.Header.Get(platform.HeaderLastEvent))
 	var events []string
 	for id := after + 1; id <= total; id++ {
-		events = append(events, fmt.Sprintf("id: %d\ndata: %s\n\n", id, ledger.StreamText(q.Header.Get(headerRequest), r.Weights, id)))
+		events = append(events, fmt.Sprintf("id: %d\ndata: %s\n\n", id, ledger.StreamText(q.Header.Get(headerRequest), r.Weights, run, id)))
 	}
 	return events
 }
--- a/standin/rehearsal/run.go
+++ b/standin/rehearsal/run.go
@@ -30,8 +30,8 @@
 type Report struct {
 	// Answers began with a 200; Complete ended as complete, Resumed went on for a client that named an event.
 	Answers, Complete, Resumed int
-	// Kills, Stops, Releases and Crashes count the faults of nodes and of replicas.
-	Kills, Stops, Releases, Crashes int
+	// Kills, Stops, Freezes, Releases and Crashes count the faults of nodes and of replicas.
+	Kills, Stops, Freezes, Releases, Crashes int
 	// Races are the reports of the race detector in the nodes' logs.
 	Races int
 	// Revisions were acknowledged to the operator, Reads of the configuration answered.
@@ -48,6 +48,9 @@
 	startTime  = 30 * time.Second
 )
 
+// frozenTimes is how many times longer a node stands still than a killed one stays away.
+const frozenTimes = 3
+
 // maxBreaches is how many breaches of the configuration may wait to be read.
 const maxBreaches = 1 << 16
 
@@ -184,16 +187,21 @@
 	return r.platform.Crash(at)
 }
 
-// strikeNode kills a node, or tells it to end, and starts it again.
+// strikeNode freezes a node, or kills it or tells it to end and starts it again.
 func (r *rehearsal) strikeNode(rng *rand.Rand) error {
-	at := rng.IntN(len(r.fleet.nodes))
-	if rng.IntN(2) == 0 {
+	at, away := rng.IntN(len(r.fleet.nodes)), time.Duration(rng.Int64N(int64(awayRange)))
+	switch rng.IntN(3) {
+	case 0:
+		r.report.Freezes++
+		r.fleet.Freeze(at, frozenTimes*away)
+		return nil
+	case 1:
 		r.report.Kills++
 		r.fleet.Signal(at, syscall.SIGKILL)
-	} else {
+	default:
 		r.report.Stops++
 		r.fleet.Signal(at, syscall.SIGTERM)
 	}
-	time.Sleep(time.Duration(rng.Int64N(int64(awayRange))))
+	time.Sleep(away)
 	return r.fleet.Start(at)
 }
