Time-outs are called so; set-ups that stood twice in tests of proxy and control stand once

control.Patience, scheduler.Request.Patience and their kin were named by a metaphor. The JSON name of router.Arrive stays (published). hand.acceptEach and lone.nextPing replace loops that stood twice. Behaviour is the same.

--- a/config/documents.go
+++ b/config/documents.go
@@ -53,8 +53,8 @@
 	if err != nil {
 		return 0, false
 	}
-	patience := readReplaceVoter(d)
-	return patience, d.Err() == nil
+	timeout := readReplaceVoter(d)
+	return timeout, d.Err() == nil
 }
 
 // readServices reads the services that are new, and looks for names that occur twice among all.
--- a/control/join_test.go
+++ b/control/join_test.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// nextPing runs until the node pings, and leaves that ping unanswered.
+func (l *lone) nextPing() membership.Ping {
+	var last membership.Ping
+	for last.Seq == 0 {
+		for _, s := range l.step(Tick{}).Sends {
+			if p, ok := s.Msg.(membership.Ping); ok {
+				last = p
+			}
+		}
+		l.now += 50 * time.Millisecond
+	}
+	return last
+}
+
 func TestNoSnapshotIsAppliedBeforeARead(t *testing.T) {
 	l := newLone()
 	l.tell("a2", 1)
@@ -81,15 +95,7 @@
 	if why := l.n.notServingReason(l.now); why != "" {
 		t.Fatal(why)
 	}
-	var last membership.Ping
-	for last.Seq == 0 {
-		for _, s := range l.step(Tick{}).Sends {
-			if p, ok := s.Msg.(membership.Ping); ok {
-				last = p
-			}
-		}
-		l.now += 50 * time.Millisecond
-	}
+	last := l.nextPing()
 	l.now += 6 * time.Second
 	l.step(Received{From: "a2", Msg: membership.Ack{Seq: last.Seq}})
 	l.step(Tick{})
@@ -104,15 +110,7 @@
 	l.tell("a2", 1)
 	l.tell("a4", 1)
 	l.run(10 * time.Second)
-	var last membership.Ping
-	for last.Seq == 0 {
-		for _, s := range l.step(Tick{}).Sends {
-			if p, ok := s.Msg.(membership.Ping); ok {
-				last = p
-			}
-		}
-		l.now += 50 * time.Millisecond
-	}
+	last := l.nextPing()
 	l.now += 6 * time.Second
 	for _, seq := range []uint64{0, last.Seq} {
 		for _, ev := range l.step(Received{From: "a2", Msg: membership.Ack{Seq: seq}}).Events {
--- a/control/list.go
+++ b/control/list.go
@@ -14,10 +14,10 @@
 	replicaListKey      = "l"
 	listConfirmationKey = "lt/"
 	listRole            = "list"
-	// listPatience is how long confirmations may stay away until a node reads for itself; each next in rank waits one step more.
-	listPatience = 1300 * time.Millisecond
-	listStep     = 200 * time.Millisecond
-	listStride   = 8
+	// confirmationTimeout is how long confirmations may stay away until a node reads for itself; each next in rank waits one step more.
+	confirmationTimeout = 1300 * time.Millisecond
+	listStep            = 200 * time.Millisecond
+	listStride          = 8
 	// firstListRetry paces a starting node's own readings, and its rank spreads those of many that start together.
 	firstListRetry = 200 * time.Millisecond
 	firstListWait  = 150 * time.Millisecond
@@ -81,7 +81,7 @@
 	if now-n.replicaList.askedAt < n.config.ListEvery {
 		return false
 	}
-	return n.holdsListRole(now) || now-n.replicaList.confirmedAt >= listPatience+time.Duration(n.rank(listRole))*listStep
+	return n.holdsListRole(now) || now-n.replicaList.confirmedAt >= confirmationTimeout+time.Duration(n.rank(listRole))*listStep
 }
 
 // holdsListRole renews or asks for the lease, where this node holds it or is the first by rank.
--- a/control/orders.go
+++ b/control/orders.go
@@ -10,16 +10,16 @@
 )
 
 const (
-	// Patience is how long an operator's call is tried after it arrived, where it says nothing else: callers leave after a second without
+	// OperationTimeout is how long an operator's call is tried after it arrived, where it says nothing else: callers leave after a second without
 	// an answer, and what takes effect later could undo what they ordered elsewhere since.
-	Patience = 850 * time.Millisecond
-	// patiencePerKiB is added for each KiB of a call's body: callers wait longer for large ones.
-	patiencePerKiB = time.Millisecond
+	OperationTimeout = 850 * time.Millisecond
+	// timeoutPerKiB is added for each KiB of a call's body: callers wait longer for large ones.
+	timeoutPerKiB = time.Millisecond
 )
 
 // Deadline is when a call that arrived at arrived, with a body of size bytes, may last take effect.
 func Deadline(arrived time.Duration, size int) time.Duration {
-	return arrived + Patience + time.Duration(size>>10)*patiencePerKiB
+	return arrived + OperationTimeout + time.Duration(size>>10)*timeoutPerKiB
 }
 
 // order proposes an operator's order, to be offered before its deadline or not at all; the proposer ends what comes too late.
--- a/control/voters.go
+++ b/control/voters.go
@@ -37,9 +37,9 @@
 	r.lostSince = since
 }
 
-// voterPatience is how long a voter may be lost before another disk replaces it: fixed where the fleet bears losses by itself
+// lostVoterTimeout is how long a voter may be lost before another disk replaces it: fixed where the fleet bears losses by itself
 // (FaultTolerance), else as the operators' document says. 0: voters stay as they are.
-func (n *Node) voterPatience() time.Duration {
+func (n *Node) lostVoterTimeout() time.Duration {
 	if n.config.FaultTolerance > 0 {
 		return voterLostAfter
 	}
@@ -62,7 +62,7 @@
 		n.finishVoters(now, n.value.Epoch)
 		return
 	}
-	next, why := set.next(now, n.voters.lostSince, n.voterPatience(), n.config.FaultTolerance)
+	next, why := set.next(now, n.voters.lostSince, n.lostVoterTimeout(), n.config.FaultTolerance)
 	if next == nil {
 		return
 	}
--- a/control/voterset.go
+++ b/control/voterset.go
@@ -14,10 +14,10 @@
 }
 
 // next names the voters that should take over from the present ones, and why; nil: the present ones stay. The order is that of need: a
-// disk that came back empty, a voter lost for longer than patience, one that is about to leave, and a disk that may join until there are
+// disk that came back empty, a voter lost for longer than timeout, one that is about to leave, and a disk that may join until there are
 // enough for the fault tolerance.
-func (s voterSet) next(now time.Duration, lostSince map[string]time.Duration, patience time.Duration, faultTolerance int) ([]register.Voter, string) {
-	if patience <= 0 {
+func (s voterSet) next(now time.Duration, lostSince map[string]time.Duration, timeout time.Duration, faultTolerance int) ([]register.Voter, string) {
+	if timeout <= 0 {
 		return nil, ""
 	}
 	for _, v := range s.value.Voters {
@@ -25,7 +25,7 @@
 			return s.replace(v, m), "disk of " + v.Name + " came back empty"
 		}
 	}
-	if lost := s.lost(now, lostSince, patience); lost != "" {
+	if lost := s.lost(now, lostSince, timeout); lost != "" {
 		if vs := s.without(lost); vs != nil {
 			return vs, "disk " + lost + " is lost"
 		}
@@ -43,10 +43,10 @@
 	return nil, ""
 }
 
-// lost names the disk of the first voter that has been lost for as long as patience.
-func (s voterSet) lost(now time.Duration, lostSince map[string]time.Duration, patience time.Duration) string {
+// lost names the disk of the first voter that has been lost for as long as timeout.
+func (s voterSet) lost(now time.Duration, lostSince map[string]time.Duration, timeout time.Duration) string {
 	for _, v := range s.value.Voters {
-		if since, ok := lostSince[v.Disk]; ok && now-since >= patience {
+		if since, ok := lostSince[v.Disk]; ok && now-since >= timeout {
 			return v.Disk
 		}
 	}
--- a/daemon/document.go
+++ b/daemon/document.go
@@ -7,7 +7,7 @@
 	"github.com/mallowbridge/mallowbridge/control"
 )
 
-// Documents gives operators' calls the document that the register holds, as it was sent. Each call ends within its caller's patience, and
+// Documents gives operators' calls the document that the register holds, as it was sent. Each call ends within its caller's timeout, and
 // an order has no effect after it.
 type Documents struct{ Daemon *Daemon }
 
--- a/daemon/gate_test.go
+++ b/daemon/gate_test.go
@@ -74,7 +74,7 @@
 				t.Errorf("ticked %v: %v", ticked, err)
 			}
 		}
-		if until, err := g.Admit(fresh, 0); err != nil || until != h.now+control.Patience {
+		if until, err := g.Admit(fresh, 0); err != nil || until != h.now+control.OperationTimeout {
 			t.Errorf("ticked %v: %v, until %v at %v", ticked, err, until, h.now)
 		}
 	}
--- a/proxy/fault_test.go
+++ b/proxy/fault_test.go
@@ -46,7 +46,7 @@
 	p, addr := front(t, m, set, config.Limits{})
 	u := narrow(t, addr)
 	u.ask(t, "GET", "id1", "", "")
-	for end := time.Now().Add(patience); p.Counters.Hangups.Load() == 0; runtime.Gosched() {
+	for end := time.Now().Add(testTimeout); p.Counters.Hangups.Load() == 0; runtime.Gosched() {
 		if time.Now().After(end) {
 			t.Fatal("the stuck client is waited for")
 		}
--- a/proxy/hand_test.go
+++ b/proxy/hand_test.go
@@ -17,7 +17,7 @@
 	"github.com/mallowbridge/mallowbridge/router"
 )
 
-const patience = 20 * time.Second
+const testTimeout = 20 * time.Second
 
 // hand is a replica that the test moves by hand.
 type hand struct{ lis *net.TCPListener }
@@ -40,15 +40,29 @@
 	return router.Decision{Addr: h.lis.Addr().String(), Replica: "r", Instance: "i1", Route: route}
 }
 
+// acceptEach serves each connection in a goroutine of its own, which closes it at its end.
+func (h *hand) acceptEach(serve func(c *net.TCPConn)) {
+	for {
+		c, err := h.lis.AcceptTCP()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			serve(c)
+		}()
+	}
+}
+
 func (h *hand) accept(t testing.TB) *up {
 	t.Helper()
-	_ = h.lis.SetDeadline(time.Now().Add(patience))
+	_ = h.lis.SetDeadline(time.Now().Add(testTimeout))
 	c, err := h.lis.AcceptTCP()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	_ = c.SetDeadline(time.Now().Add(patience))
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
 	return &up{TCPConn: c, in: bufio.NewReader(c)}
 }
 
@@ -106,7 +120,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	_ = c.SetDeadline(time.Now().Add(patience))
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
 	return &user{TCPConn: c.(*net.TCPConn), in: bufio.NewReader(c)}
 }
 
--- a/proxy/kept_test.go
+++ b/proxy/kept_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -108,30 +109,21 @@
 // forgetful is a replica that forgets connections that were idle for a time: it says nothing and answers nothing on them.
 func forgetful(t *testing.T, idle time.Duration) *hand {
 	h := newHand(t)
-	go func() {
+	go h.acceptEach(func(c *net.TCPConn) {
+		in, last := bufio.NewReader(c), time.Now()
 		for {
-			c, err := h.lis.AcceptTCP()
+			req, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				u, last := &up{TCPConn: c, in: bufio.NewReader(c)}, time.Now()
-				for {
-					req, err := http.ReadRequest(u.in)
-					if err != nil {
-						return
-					}
-					if time.Since(last) > idle {
-						continue
-					}
-					text, _ := say("200 OK", "", "hi")(got{req: req})
-					_, _ = io.WriteString(c, text)
-					last = time.Now()
-				}
-			}()
+			if time.Since(last) > idle {
+				continue
+			}
+			text, _ := say("200 OK", "", "hi")(got{req: req})
+			_, _ = io.WriteString(c, text)
+			last = time.Now()
 		}
-	}()
+	})
 	return h
 }
 
--- a/proxy/lost_test.go
+++ b/proxy/lost_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -44,29 +45,20 @@
 // is told to ran.
 func closer(t *testing.T, idle, deaf time.Duration, ran chan<- string) *hand {
 	h := newHand(t)
-	go func() {
+	go h.acceptEach(func(c *net.TCPConn) {
+		in := bufio.NewReader(c)
 		for {
-			c, err := h.lis.AcceptTCP()
+			_ = c.SetReadDeadline(time.Now().Add(idle - deaf))
+			req, err := http.ReadRequest(in)
 			if err != nil {
+				<-time.After(deaf)
 				return
 			}
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for {
-					_ = c.SetReadDeadline(time.Now().Add(idle - deaf))
-					req, err := http.ReadRequest(in)
-					if err != nil {
-						<-time.After(deaf)
-						return
-					}
-					ran <- req.Header.Get("X-Attempt")
-					text, _ := say("200 OK", "", "hi")(got{req: req})
-					_, _ = io.WriteString(c, text)
-				}
-			}()
+			ran <- req.Header.Get("X-Attempt")
+			text, _ := say("200 OK", "", "hi")(got{req: req})
+			_, _ = io.WriteString(c, text)
 		}
-	}()
+	})
 	return h
 }
 
--- a/proxy/reset_test.go
+++ b/proxy/reset_test.go
@@ -66,7 +66,7 @@
 // read waits until the proxy has taken all that was said: a reset throws away what lies in its socket.
 func read(t *testing.T, u *up) {
 	t.Helper()
-	for end := time.Now().Add(patience); unacked(t, u.TCPConn) > 0; {
+	for end := time.Now().Add(testTimeout); unacked(t, u.TCPConn) > 0; {
 		if time.Now().After(end) {
 			t.Fatal("bytes stay unread")
 		}
--- a/register/contention_test.go
+++ b/register/contention_test.go
@@ -61,9 +61,9 @@
 	stormGap    = 100 * time.Millisecond
 	// mostOrdersBound is in which 99 of 100 orders of a storm must be confirmed: most come to a proposer that was idle.
 	mostOrdersBound = 100 * time.Millisecond
-	// orderBound is in which an order of a storm must be confirmed; evacuationPatience the deadline of an evacuation.
-	orderBound         = 4 * time.Second
-	evacuationPatience = 850 * time.Millisecond
+	// orderBound is in which an order of a storm must be confirmed; evacuationTimeout the deadline of an evacuation.
+	orderBound        = 4 * time.Second
+	evacuationTimeout = 850 * time.Millisecond
 	// evacuationRatio of the evacuations that meet a storm must be confirmed within their second.
 	evacuationRatio = 0.98
 )
@@ -110,7 +110,7 @@
 }
 
 func (s *stormReport) evacuate(c *cluster) {
-	c.submit(c.proposers[c.rng.IntN(8)], evacuationPatience, false, func(r Result, elapsed time.Duration) {
+	c.submit(c.proposers[c.rng.IntN(8)], evacuationTimeout, false, func(r Result, elapsed time.Duration) {
 		if r.Err != nil || elapsed > time.Second {
 			s.failed++
 		}
--- a/register/duel_test.go
+++ b/register/duel_test.go
@@ -17,7 +17,7 @@
 	last  Result
 }
 
-const patience = 900 * time.Millisecond
+const operationTimeout = 900 * time.Millisecond
 
 func newDuel(t *testing.T) *duel {
 	d := &duel{t: t, disks: map[string]*Acceptor{}, reach: map[string]bool{}}
@@ -90,7 +90,7 @@
 
 // until runs a proposer until its operation has ended.
 func (d *duel) until(p *Proposer, change Change) error {
-	p.Submit(d.now, d.now+patience, 7, change)
+	p.Submit(d.now, d.now+operationTimeout, 7, change)
 	return d.end(p)
 }
 
@@ -108,7 +108,7 @@
 
 // expose lets x prepare everywhere, and its order reach only the disks named; x hears no answers.
 func (d *duel) expose(base uint64, disks ...string) {
-	d.x.Submit(d.now, d.now+patience, 9, take(base, "mine"))
+	d.x.Submit(d.now, d.now+operationTimeout, 9, take(base, "mine"))
 	sends, _ := d.x.TakeOutput()
 	for _, s := range sends {
 		if r, _ := d.disks[s.Disk].Prepare(s.Msg.(Prepare)); d.x.phase == preparing {
--- a/register/exposed_test.go
+++ b/register/exposed_test.go
@@ -27,7 +27,7 @@
 		d := newDuel(t)
 		if c.accept == nil {
 			d.only(c.sees...)
-			d.x.Submit(d.now, d.now+patience, 9, take(0, "mine"))
+			d.x.Submit(d.now, d.now+operationTimeout, 9, take(0, "mine"))
 		} else {
 			d.expose(0, c.accept...)
 		}
@@ -70,7 +70,7 @@
 func TestRejectionBuildsOnChosenValue(t *testing.T) {
 	// y's order is at one disk only: x must not be refused by it before it is chosen.
 	d := newDuel(t)
-	d.y.Submit(d.now, d.now+patience, 9, take(0, "theirs"))
+	d.y.Submit(d.now, d.now+operationTimeout, 9, take(0, "theirs"))
 	sends, _ := d.y.TakeOutput()
 	for _, s := range sends {
 		r, _ := d.disks[s.Disk].Prepare(s.Msg.(Prepare))
@@ -94,8 +94,8 @@
 
 func TestFrozenProposerStopsAtItsDeadline(t *testing.T) {
 	d := newDuel(t)
-	d.x.Submit(d.now, d.now+patience, 9, take(0, "mine"))
-	d.x.Submit(d.now, d.now+patience, 10, take(0, "queued"))
+	d.x.Submit(d.now, d.now+operationTimeout, 9, take(0, "mine"))
+	d.x.Submit(d.now, d.now+operationTimeout, 10, take(0, "queued"))
 	sends, _ := d.x.TakeOutput()
 	var overdue []Promise
 	for _, s := range sends {
@@ -119,7 +119,7 @@
 
 func TestChosenChangeIsAcknowledgedAfterItsDeadline(t *testing.T) {
 	d := newDuel(t)
-	d.x.Submit(d.now, d.now+patience, 9, take(0, "mine"))
+	d.x.Submit(d.now, d.now+operationTimeout, 9, take(0, "mine"))
 	sends, _ := d.x.TakeOutput()
 	for _, s := range sends {
 		r, _ := d.disks[s.Disk].Prepare(s.Msg.(Prepare))
@@ -140,8 +140,8 @@
 	d := newDuel(t)
 	d.only()
 	d.x.Submit(d.now, d.now+4*time.Second, 1, take(0, "long"))
-	d.x.Submit(d.now, d.now+patience, 2, nil)
-	if fateOf(d.end(d.x)) != "503 unchanged" || d.last.ID != 2 || d.now > patience+200*time.Millisecond {
+	d.x.Submit(d.now, d.now+operationTimeout, 2, nil)
+	if fateOf(d.end(d.x)) != "503 unchanged" || d.last.ID != 2 || d.now > operationTimeout+200*time.Millisecond {
 		t.Errorf("%+v at %s", d.last, d.now)
 	}
 }
--- a/register/readonly_test.go
+++ b/register/readonly_test.go
@@ -10,7 +10,7 @@
 	d := newDuel(t)
 	d.expose(0, "a")
 	d.only("a", "b", "c")
-	d.y.Submit(d.now, d.now+patience, 7, nil)
+	d.y.Submit(d.now, d.now+operationTimeout, 7, nil)
 	looks, _ := d.y.TakeOutput()
 	for _, s := range looks {
 		if m := s.Msg.(Prepare); !m.ReadOnly {
@@ -54,7 +54,7 @@
 		return cur, nil
 	}
 	for _, change := range []Change{begin, finish} {
-		d.x.Submit(d.now, d.now+patience, 3, change)
+		d.x.Submit(d.now, d.now+operationTimeout, 3, change)
 		if err := d.end(d.x); err != nil {
 			d.t.Fatal(err)
 		}
@@ -89,14 +89,14 @@
 			d.changeVoters(rng.IntN(3) > 0, all[at[0]], all[at[1]], all[at[2]])
 		}
 		text := fmt.Sprint("t", version)
-		d.x.Submit(d.now, d.now+patience, 4, take(version, text))
+		d.x.Submit(d.now, d.now+operationTimeout, 4, take(version, text))
 		if err := d.end(d.x); err != nil {
 			mustBeUnavailable(t, err)
 			break
 		}
 		version, confirmed = version+1, text
 		if len(d.x.voters.Next) > 0 {
-			d.x.Submit(d.now, d.now+patience, 5, seatNext)
+			d.x.Submit(d.now, d.now+operationTimeout, 5, seatNext)
 			_ = d.end(d.x)
 		}
 	}
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -73,7 +73,7 @@
 }
 
 func (r *Router) schedule(now time.Duration, e Arrive, req scheduler.Request, route *config.Route) {
-	req.Tail, req.Patience = e.tail(req.Parts), e.Timeout
+	req.Tail, req.ClientTimeout = e.tail(req.Parts), e.Timeout
 	id := r.scheduler.Arrive(now, req)
 	r.requestIDs[e.Request] = id
 	r.requests[id] = liveRequest{request: e.Request, route: route}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -21,7 +21,7 @@
 	Begun
 )
 
-// Request is a row of the table of requests. The caller of Arrive fills in Service, Class, Parts, Tail and Patience.
+// Request is a row of the table of requests. The caller of Arrive fills in Service, Class, Parts, Tail and ClientTimeout.
 type Request struct {
 	Service, Class int
 	// Parts are the prompt's prefix, Tail how many tokens follow it.
@@ -30,8 +30,8 @@
 	ArrivedAt time.Duration
 	// Due is the aim for the first token, Deadline when the request is given up.
 	Due, Deadline time.Duration
-	// Patience bounds the deadline where it is told.
-	Patience time.Duration
+	// ClientTimeout is how long the client waits from its arrival on; 0 where it doesn't say.
+	ClientTimeout time.Duration
 
 	State State
 	// Attempt numbers the current attempt at Replica; PrefillReplica reads the prompt where roles are split, else -1.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -150,7 +150,7 @@
 	s.Replicas[replica].report(asOf, load)
 }
 
-// Arrive admits a request to the queue; the next Tick decides about it. Service, Class, Parts, Tail and Patience are the caller's.
+// Arrive admits a request to the queue; the next Tick decides about it. Service, Class, Parts, Tail and ClientTimeout are the caller's.
 func (s *Scheduler) Arrive(now time.Duration, req Request) int {
 	class := s.Services[req.Service].Classes[req.Class]
 	req.ArrivedAt, req.State, req.Replica, req.PrefillReplica = now, Queued, -1, -1
@@ -159,8 +159,8 @@
 	if class.routed() {
 		req.Deadline = now + class.Timeout
 	}
-	if req.Patience > 0 {
-		req.Deadline = min(req.Deadline, now+req.Patience)
+	if req.ClientTimeout > 0 {
+		req.Deadline = min(req.Deadline, now+req.ClientTimeout)
 	}
 	id := s.Requests.add(req)
 	s.Counters.Arrived++
--- a/sim/changes.go
+++ b/sim/changes.go
@@ -151,7 +151,7 @@
 		s: s, id: fmt.Sprintf("look%d", s.load.n), class: &s.probeClass, path: path, domain: n.Zone, at: s.w.Now, deadline: s.w.Now + time.Second, events: 1, prompt: 1,
 		work: 5 * time.Millisecond, attempts: 1,
 	}
-	c := &clientAttempt{request: q, id: q.id, n: n, path: path, sent: s.w.Now, patience: time.Second, probe: &configurationProbe{revision: revision}}
+	c := &clientAttempt{request: q, id: q.id, n: n, path: path, sent: s.w.Now, timeout: time.Second, probe: &configurationProbe{revision: revision}}
 	s.rules.submitted(c)
 	c.start()
 }
--- a/sim/client.go
+++ b/sim/client.go
@@ -42,23 +42,23 @@
 
 // A try is one request of a user agent to one node.
 type clientAttempt struct {
-	request  *clientRequest
-	n        *Node
-	id       string
-	path     string
-	sent     time.Duration
-	patience time.Duration
-	last     int
-	passes   int
-	read     bool
-	over     bool
-	proxied  *proxyRequest
-	due      time.Duration
-	h        *head
-	text     []byte
-	run      string
-	fault    string
-	status   int
+	request *clientRequest
+	n       *Node
+	id      string
+	path    string
+	sent    time.Duration
+	timeout time.Duration
+	last    int
+	passes  int
+	read    bool
+	over    bool
+	proxied *proxyRequest
+	due     time.Duration
+	h       *head
+	text    []byte
+	run     string
+	fault   string
+	status  int
 	// runsBegun counts the runs at replicas, eventsMade is the newest event of any.
 	runsBegun, eventsMade int
 	madeAt                time.Duration
@@ -75,7 +75,7 @@
 func (q *clientRequest) submit() {
 	s := q.s
 	q.attempts++
-	c := &clientAttempt{request: q, id: fmt.Sprintf("%s.%d", q.id, q.attempts), path: q.path, sent: s.w.Now, patience: q.deadline - s.w.Now, last: q.last}
+	c := &clientAttempt{request: q, id: fmt.Sprintf("%s.%d", q.id, q.attempts), path: q.path, sent: s.w.Now, timeout: q.deadline - s.w.Now, last: q.last}
 	if c.n = s.pick(q.domain); c.n == nil {
 		q.failed(c, 0, false)
 		return
@@ -87,13 +87,13 @@
 func (c *clientAttempt) start() {
 	w := c.request.s.w
 	w.After(clientDelay, c.reach)
-	w.After(min(time.Second, c.patience/3), func() {
+	w.After(min(time.Second, c.timeout/3), func() {
 		if !c.read && !c.over && (c.request.class.Repeatable || !c.n.Alive) {
 			c.over = true
 			c.request.failed(c, 0, true)
 		}
 	})
-	w.After(c.patience, func() { c.hangup() })
+	w.After(c.timeout, func() { c.hangup() })
 	if c.request.class.Streaming {
 		c.request.lastEventAt = w.Now
 		c.watch()
--- a/sim/proxyrequest.go
+++ b/sim/proxyrequest.go
@@ -57,10 +57,10 @@
 	if c.last > 0 {
 		t.events.Last = strconv.Itoa(c.last)
 	}
-	t.deadline = n.w.Now + c.patience
+	t.deadline = n.w.Now + c.timeout
 	n.requests[name] = t
 	q := c.request
-	a := router.Arrive{Request: name, Host: siteHost, Path: c.path, Timeout: c.patience}
+	a := router.Arrive{Request: name, Host: siteHost, Path: c.path, Timeout: c.timeout}
 	if q.class.Streaming {
 		a.Prefix, a.Model, a.Tokens, a.MaxAnswerTokens = q.prefix, shape.Prompt, q.prompt, q.events*s.stride(q.class.Service)
 	}
--- a/sim/sitenode.go
+++ b/sim/sitenode.go
@@ -28,7 +28,7 @@
 
 // takeAttempt begins a client's request, or refuses it as a proxy does that shuts down.
 func (n *Node) takeAttempt(c *clientAttempt) {
-	if !n.shuttingDown || schedule.Admits(n.w.Now-n.shutdownAt, c.patience) {
+	if !n.shuttingDown || schedule.Admits(n.w.Now-n.shutdownAt, c.timeout) {
 		c.proxied = n.begin(c)
 		return
 	}
--- a/sim/siteorders.go
+++ b/sim/siteorders.go
@@ -20,9 +20,9 @@
 	mostUnderWay = 8
 	// lookEvery is how many changes of a rapid run pass between those that are looked at from outside.
 	lookEvery = 10
-	// patientFor is how long an order is sent again whose answers were lost.
-	patientFor = 25 * time.Second
-	lostRatio  = 0.7
+	// resendFor is how long an order is sent again whose answers were lost.
+	resendFor = 25 * time.Second
+	lostRatio = 0.7
 )
 
 func (o *operators) loses() bool {
@@ -37,7 +37,7 @@
 // extend has an order whose answer was lost sent for long.
 func (*operators) extend(d *order) {
 	if !d.forced {
-		d.until = max(d.until, d.from+patientFor)
+		d.until = max(d.until, d.from+resendFor)
 	}
 }
 
