Tenants: keys, and quotas over the whole fleet

Programs that follow a node know no tenants, so keyed routes are not sent to them.

Quotas: package quota.

--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -71,6 +71,7 @@
 		Backlog: 1024, MaxBody: 1, MaxStreams: 1, DrainMs: 1,
 		Host: daemon.Host{
 			Read: reader(documents, s.Bounds), ListEvery: listEvery, FaultTolerance: s.FaultTolerance.Machines, Bootstraps: s.FirstStart, ServesIsolated: true,
+			QuotaWindow: s.Bounds.QuotaWindow,
 		},
 	}
 	get := platform.Getter(s.Cloud.Address)
@@ -84,6 +85,7 @@
 		Attempt: platform.HeaderAttempt, Target: platform.HeaderTarget, NotExecuted: platform.HeaderNotExecuted, Load: platform.HeaderLoad,
 		Deadline: platform.HeaderDeadline, Prefix: platform.HeaderPrefix, Model: platform.HeaderModel, Tokens: platform.HeaderTokens,
 		Seal: platform.HeaderSeal, Instance: platform.HeaderInstance, Priority: platform.HeaderPriority,
+		Credential: platform.HeaderCredential, Tenant: platform.HeaderTenant,
 		WeightsVersion: platform.HeaderWeightVersions, ExpectedVersion: platform.HeaderExpectedVersion,
 		ParseTokens: platform.ParseTokens, ParseLoad: platform.ParseLoad,
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -90,6 +90,8 @@
 	MaxAttempts int
 	// Priority 0 goes first.
 	Priority int
+	// Public: requests need no tenant's key.
+	Public bool
 }
 
 // Limits bound what a client may send and how long it may take. Zero leaves the daemon's own bound.
@@ -102,7 +104,9 @@
 type Config struct {
 	Services []Service
 	Routes   []Route
-	Limits   Limits
+	// Tenants are those whose requests are taken; where there are none, anybody's are.
+	Tenants []Tenant
+	Limits  Limits
 	// ReplaceVoter is how long a voter must be lost until another takes its place; 0: never by itself.
 	ReplaceVoter time.Duration
 	// Revision is the operators' own number for the document; 0 where they give none.
--- a/config/encoding.go
+++ b/config/encoding.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/wire"
@@ -143,12 +144,17 @@
 	Emptied []string
 }
 
-// EncodeSnapshot gives the encoded form of a snapshot; nil for nil.
+// EncodeSnapshot gives the encoded form of a snapshot; nil for nil. The form has no place for tenants, so routes that need a tenant's key
+// are left out: a program that follows a node finds no route rather than one that is open to anybody.
 func EncodeSnapshot(s *Snapshot) *EncodedSnapshot {
 	if s == nil {
 		return nil
 	}
-	return &EncodedSnapshot{Mark: s.Version, Charter: encodeConfig(s.Config), Emptied: s.EvacuatedZones}
+	c := s.Config
+	if len(c.Tenants) > 0 {
+		c.Routes = slices.DeleteFunc(slices.Clone(c.Routes), func(r Route) bool { return !r.Public })
+	}
+	return &EncodedSnapshot{Mark: s.Version, Charter: encodeConfig(c), Emptied: s.EvacuatedZones}
 }
 
 // Decode gives the snapshot of an encoded form; nil for nil.
--- /dev/null
+++ b/config/tenant_test.go
@@ -0,0 +1,40 @@
+package config
+
+import (
+	"slices"
+	"testing"
+)
+
+// TestRoutesThatNeedAKeyAreNotSent: followers know no tenants, so they must not know routes that only tenants may use.
+func TestRoutesThatNeedAKeyAreNotSent(t *testing.T) {
+	s := &Snapshot{Version: 3, Config: Config{Routes: []Route{{Name: "keyed"}, {Name: "open", Public: true}}}}
+	names := func(s *Snapshot) []string {
+		var all []string
+		for _, r := range s.Config.Routes {
+			all = append(all, r.Name)
+		}
+		return all
+	}
+	if got := names(EncodeSnapshot(s).Decode()); !slices.Equal(got, []string{"keyed", "open"}) {
+		t.Errorf("without tenants %v are sent", got)
+	}
+	s.Config.Tenants = []Tenant{{Name: "a"}}
+	if got := names(EncodeSnapshot(s).Decode()); !slices.Equal(got, []string{"open"}) {
+		t.Errorf("with tenants %v are sent", got)
+	}
+	if got := names(s); len(got) != 2 {
+		t.Errorf("the snapshot itself has %v left", got)
+	}
+}
+
+func TestPriorityOfTenants(t *testing.T) {
+	route := &Route{Priority: 4}
+	for _, c := range []struct {
+		tenant *Tenant
+		want   int
+	}{{nil, 4}, {&Tenant{}, 4}, {&Tenant{Priority: 0, Prioritized: true}, 0}, {&Tenant{Priority: 7, Prioritized: true}, 7}} {
+		if got := c.tenant.PriorityOf(route); got != c.want {
+			t.Errorf("%+v: %d, want %d", c.tenant, got, c.want)
+		}
+	}
+}
--- a/control/encoding.go
+++ b/control/encoding.go
@@ -18,6 +18,7 @@
 	wire.RegisterPlain("ch", ListConfirmation{})
 	wire.RegisterPlain("cp", Prefills{})
 	wire.RegisterPlain("cf", Failures{})
+	wire.RegisterPlain("cq", TenantUsage{})
 	wire.RegisterPlain("xp", ChunkPull{})
 	wire.Register("xd", encodeChunkData, decodeChunkData)
 	wire.Register("ws", encodeWitnessAsk, decodeWitnessAsk)
--- a/control/format_test.go
+++ b/control/format_test.go
@@ -29,6 +29,9 @@
 
 const formatFolder = "testdata/format"
 
+// notSent is the type of a snapshot's tenants, which no message holds (config.EncodeSnapshot).
+var notSent = reflect.TypeFor[[]config.Tenant]()
+
 // filler sets each exported field of a value to something else, in the order of declaration.
 type filler struct{ n int }
 
@@ -68,7 +71,7 @@
 		v.SetMapIndex(key, elem)
 	case reflect.Struct:
 		for i := range v.NumField() {
-			if v.Type().Field(i).IsExported() && v.Field(i).Kind() != reflect.Interface {
+			if v.Type().Field(i).IsExported() && v.Field(i).Kind() != reflect.Interface && v.Field(i).Type() != notSent {
 				f.fill(v.Field(i))
 			}
 		}
@@ -97,6 +100,10 @@
 func formatMessages() map[string]any {
 	member, load, value := filled[membership.Member](), filled[control.LoadReports](), filled[*register.Value]()
 	load.Urgent = true
+	snapshot := filled[*config.Snapshot]()
+	for i := range snapshot.Config.Routes {
+		snapshot.Config.Routes[i].Public = false
+	}
 	return map[string]any{
 		"register-prepare": filled[register.Prepare](), "register-promise": filled[register.Promise](),
 		"register-accept": filled[register.Accept](), "register-accepted": filled[register.Accepted](),
@@ -105,12 +112,12 @@
 		"gossip-value": item(value), "gossip-member": item(member), "gossip-loads": item(load),
 		"gossip-replicastate": item(filled[control.ReplicaState]()), "gossip-replicalistitem": item(filled[control.ReplicaListItem]()),
 		"gossip-listconfirmation": item(filled[control.ListConfirmation]()), "gossip-prefills": item(filled[control.Prefills]()),
-		"gossip-failures": item(filled[control.Failures]()),
+		"gossip-failures": item(filled[control.Failures]()), "gossip-tenantusage": item(filled[control.TenantUsage]()),
 		"gossip-checksum": filled[gossip.Checksum](), "gossip-digest": filled[gossip.Digest](), "gossip-pull": filled[gossip.Pull](),
 		"gossip-announcement": filled[gossip.Announcement](),
 		"chunk-pull":          filled[control.ChunkPull](), "chunk-data": filled[control.ChunkData](),
 		"witness-ask": filled[control.WitnessAsk](), "witness-say": filled[control.WitnessSay](), "witness-forget": filled[control.WitnessForget](),
-		"event-welcome": filled[router.Welcome](), "event-snapshot": event(router.SnapshotUpdate{Snapshot: filled[*config.Snapshot]()}),
+		"event-welcome": filled[router.Welcome](), "event-snapshot": event(router.SnapshotUpdate{Snapshot: snapshot}),
 		"event-routers": event(filled[router.Routers]()), "event-loadreport": event(filled[router.LoadReport]()),
 		"event-listing": event(filled[router.Listing]()), "event-feed": event(filled[router.ControlStatus]()),
 		"event-suspect": event(filled[router.ReplicaSuspect]()), "event-replicalist": event(filled[router.ReplicaList]()),
--- a/control/node.go
+++ b/control/node.go
@@ -63,6 +63,8 @@
 	local []Received
 	// failureSeq numbers this router's reports of failed requests.
 	failureSeq uint64
+	// usageSeq numbers its reports of tenants' quotas.
+	usageSeq uint64
 
 	disk          durableReplies
 	operations    operations
@@ -124,6 +126,8 @@
 		n.onProbed(now, i)
 	case Observation:
 		n.health.observe(now, i)
+	case Used:
+		n.used(i)
 	case Failed:
 		n.failed(i)
 	case ListRead:
--- a/control/updates.go
+++ b/control/updates.go
@@ -56,6 +56,8 @@
 		n.onListConfirmation(now, d)
 	case Failures:
 		n.onFailures(d)
+	case TenantUsage:
+		n.emit(d.TenantUsage)
 	}
 }
 
--- a/daemon/persist.go
+++ b/daemon/persist.go
@@ -14,14 +14,16 @@
 	return nil
 }
 
-// forwardFailures hands the scheduler's reports of failing replicas to control, which publishes them to the other nodes.
-func (h *Daemon) forwardFailures() error {
+// forwardReports hands the router's reports of failing replicas and of tenants' quotas to control, which publishes them to the other nodes.
+func (h *Daemon) forwardReports() error {
 	for {
 		select {
 		case <-h.Tomb.Dying():
 			return nil
 		case f := <-h.Loop.Failures:
 			h.submit(control.Failed{Failures: f})
+		case u := <-h.Loop.Usage:
+			h.submit(control.Used{TenantUsage: u})
 		}
 	}
 }
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -56,7 +56,7 @@
 		t.Go(h.persist)
 	}
 	t.Go(h.watch)
-	t.Go(h.forwardFailures)
+	t.Go(h.forwardReports)
 	t.Go(h.control)
 	t.Go(h.tickGate)
 	return h, nil
@@ -107,6 +107,7 @@
 	s := h.Settings
 	cfg := router.Defaults(s.Name, h.boot, s.Zone)
 	cfg.Scheduler.QueueLimit = s.Backlog
+	cfg.QuotaWindow = s.Host.QuotaWindow
 	if s.Host.ServesIsolated {
 		cfg.Scheduler.FeedTimeout = isolatedFeedTimeout
 	}
--- a/proxy/action.go
+++ b/proxy/action.go
@@ -46,6 +46,10 @@
 	Aborted
 	// ClientGone is a client that closed its connection.
 	ClientGone
+	// OverQuota is a 429: the tenant has used up its quota, and the request has not run.
+	OverQuota
+	// Unauthorized is a 401: no tenant has the request's key.
+	Unauthorized
 )
 
 // Action is one step for the transfer: Event belongs to NotifyRouter; Outcome, Reason and RetryAfter (when the client may come back) to Finish.
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -121,6 +121,7 @@
 	status int
 }{
 	Rejected: {"denied", http.StatusServiceUnavailable}, NotFound: {"not found", http.StatusNotFound},
+	Unauthorized: {"unauthorized", http.StatusUnauthorized}, OverQuota: {"over quota", http.StatusTooManyRequests},
 	Unknown: {"unknown", http.StatusBadGateway}, Expired: {"expired", http.StatusGatewayTimeout},
 }
 
@@ -141,6 +142,10 @@
 		n.Denied.Add(1)
 	case NotFound:
 		n.NotFound.Add(1)
+	case OverQuota:
+		n.OverQuota.Add(1)
+	case Unauthorized:
+		n.Unauthorized.Add(1)
 	case Unknown:
 		n.Unknown.Add(1)
 	case Expired:
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -141,6 +141,10 @@
 		e.finish(Unknown, d.Reason, d.RetryAfter)
 	case d.Bad:
 		e.finish(NotFound, d.Reason, 0)
+	case d.OverQuota:
+		e.finish(OverQuota, d.Reason, d.RetryAfter)
+	case d.Unauthorized:
+		e.finish(Unauthorized, d.Reason, 0)
 	default:
 		e.finish(Rejected, d.Reason, cmp.Or(d.RetryAfter, defaultRetryAfter))
 	}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/mallowbridge/mallowbridge/config"
 	"github.com/mallowbridge/mallowbridge/router"
 )
 
@@ -74,6 +75,9 @@
 	if v := first(h, p.headers.Tokens); v != "" && p.headers.ParseTokens != nil {
 		a.Tokens, a.MaxAnswerTokens = p.headers.ParseTokens(v)
 	}
+	if key := first(h, p.headers.Credential); key != "" {
+		a.Key, a.HasKey = config.HashKey(key), true
+	}
 	if ms, err := strconv.ParseInt(first(h, p.headers.Deadline), 10, 32); err == nil && ms > 0 {
 		a.Timeout = time.Duration(ms) * time.Millisecond
 		x.deadline = x.arrived.Add(a.Timeout)
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -53,11 +53,11 @@
 	return append(b, "\r\n"...)
 }
 
-// field is a header that replaces whatever the request has of its name.
+// field is a header that replaces whatever the request has of its name; an empty value only takes that away.
 type field struct{ name, value string }
 
-// maxRewritten is how many headers are written anew at most.
-const maxRewritten = 5
+// maxRewritten is how many headers are written anew, or taken away, at most.
+const maxRewritten = 7
 
 type fields struct {
 	all [maxRewritten]field
@@ -95,7 +95,9 @@
 		}
 	}
 	for _, x := range set.all[:set.n] {
-		b = addHeader(b, x.name, x.value)
+		if x.value != "" {
+			b = addHeader(b, x.name, x.value)
+		}
 	}
 	if bodyLen > 0 || r.ContentLength != 0 || r.Header["Content-Length"] != nil {
 		b = append(b, "Content-Length: "...)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -36,6 +36,9 @@
 	Instance string
 	// Priority tells the replica how urgent the request is; one that the client sent stays.
 	Priority string
+	// Credential holds a client's key and nothing else; replicas don't see it. Tenant tells them the key's tenant instead, whatever the
+	// client sent.
+	Credential, Tenant string
 	// WeightsVersion in an answer is the version of the weights that it is made with, a whole number. An event of a stream may begin with a
 	// line of this name in lower case: the version from there on.
 	WeightsVersion string
@@ -50,6 +53,7 @@
 func (h Headers) canonical() Headers {
 	for _, name := range []*string{
 		&h.Attempt, &h.Target, &h.NotExecuted, &h.Load, &h.Deadline, &h.Prefix, &h.Model, &h.Tokens, &h.Seal, &h.Instance, &h.Priority, &h.WeightsVersion, &h.ExpectedVersion,
+		&h.Credential, &h.Tenant,
 	} {
 		*name = http.CanonicalHeaderKey(*name)
 	}
@@ -100,6 +104,8 @@
 // Counters count requests by their outcome, and what connections and replicas did, since the start.
 type Counters struct {
 	Requests, Done, Denied, NotFound, Unknown, Bad, Full, Hangups, Aborted, Expired atomic.Uint64
+	// Unauthorized counts requests whose key no tenant has, OverQuota those beyond their tenant's quota.
+	Unauthorized, OverQuota atomic.Uint64
 	// ShuttingDown counts requests that were refused because the process was told to end.
 	ShuttingDown                                       atomic.Uint64
 	Dials, DialFails, Capped, Reused, Stale, Unwritten atomic.Uint64
--- a/proxy/rig_test.go
+++ b/proxy/rig_test.go
@@ -20,7 +20,7 @@
 
 var names = proxy.Headers{
 	Attempt: "X-Attempt", Target: "X-Target", NotExecuted: "X-Not-Run", Load: "X-Load", Deadline: "X-Wait-Ms", Prefix: "X-Prefix",
-	Model: "X-Model", Tokens: "X-Tokens", Seal: "X-Seal", Instance: "X-Instance", Priority: "X-Rank",
+	Model: "X-Model", Tokens: "X-Tokens", Seal: "X-Seal", Instance: "X-Instance", Priority: "X-Rank", Credential: "X-Key", Tenant: "X-Customer",
 	WeightsVersion: "X-Weights", ExpectedVersion: "X-Expected-Weights",
 	ParseLoad: func(v string) (router.Load, bool) {
 		var l router.Load
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -112,6 +112,12 @@
 func (x *transfer) rewrittenHeaders(left int64) fields {
 	h, d := &x.proxy.headers, &x.exchange.Placement
 	var set fields
+	if h.Credential != "" {
+		set.set(h.Credential, "")
+	}
+	if h.Tenant != "" {
+		set.set(h.Tenant, d.Tenant)
+	}
 	if d.Instance != "" && h.Target != "" {
 		set.set(h.Target, d.Instance)
 	}
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/mallowbridge/mallowbridge/config"
 	"github.com/mallowbridge/mallowbridge/prefixindex"
 	"github.com/mallowbridge/mallowbridge/scheduler"
 )
@@ -42,7 +41,7 @@
 	if err != nil {
 		return e.bad(err.Error()), true
 	}
-	r.schedule(now, e, scheduler.Request{Service: service, Class: class, Parts: parts}, nil)
+	r.schedule(now, e, scheduler.Request{Service: service, Class: class, Parts: parts}, liveRequest{})
 	var d Decision
 	return d, false
 }
@@ -53,11 +52,19 @@
 	if route == nil {
 		return e.bad("no such route"), true
 	}
+	tenant, allowed := r.authorize(&e, route)
+	if !allowed {
+		return e.unauthorized(), true
+	}
 	name := pickService(route, e.Request)
 	service, ok := r.services[name]
 	if !ok {
 		return e.bad("no such offer"), true
 	}
+	charged := r.charge(now, &e, tenant)
+	if !charged.taken {
+		return e.overQuota(charged.retryAfter), true
+	}
 	model := e.Model
 	if model == "" {
 		model = r.model(name)
@@ -66,17 +73,18 @@
 	if err != nil {
 		parts = nil
 	}
-	class := r.classes[service][classKey{name: route.Name, route: true}]
-	r.schedule(now, e, scheduler.Request{Service: service, Class: class, Parts: parts}, route)
+	class := r.classes[service][classKey{name: route.Name, route: true, priority: tenant.PriorityOf(route)}]
+	r.schedule(now, e, scheduler.Request{Service: service, Class: class, Parts: parts}, liveRequest{route: route, tenant: tenant, cost: charged.cost})
 	var d Decision
 	return d, false
 }
 
-func (r *Router) schedule(now time.Duration, e Arrive, req scheduler.Request, route *config.Route) {
+func (r *Router) schedule(now time.Duration, e Arrive, req scheduler.Request, live liveRequest) {
 	req.Tail, req.ClientTimeout = e.tail(req.Parts), e.Timeout
 	id := r.scheduler.Arrive(now, req)
 	r.requestIDs[e.Request] = id
-	r.requests[id] = liveRequest{request: e.Request, route: route}
+	live.request = e.Request
+	r.requests[id] = live
 }
 
 func (e Arrive) rejected(why string, repeat bool) Decision {
@@ -87,6 +95,14 @@
 	return Decision{Verdict: Reject, Request: e.Request, Reason: why, Bad: true}
 }
 
+func (e Arrive) unauthorized() Decision {
+	return Decision{Verdict: Reject, Request: e.Request, Reason: "no tenant has the key", Unauthorized: true}
+}
+
+func (e Arrive) overQuota(after time.Duration) Decision {
+	return Decision{Verdict: Reject, Request: e.Request, Reason: "the tenant's quota is used up", RetryAfter: after, OverQuota: true}
+}
+
 // tail is how many tokens follow the prefix.
 func (e Arrive) tail(parts []prefixindex.Part) int {
 	if e.Tokens == 0 {
--- a/router/decision.go
+++ b/router/decision.go
@@ -56,6 +56,10 @@
 	// Repeat marks a rejection of a request that was run before, Bad one of a request that cannot be served as it is.
 	Repeat bool `json:"repeat,omitempty"`
 	Bad    bool `json:"bad,omitempty"`
+	// OverQuota marks a rejection of a request beyond its tenant's quota.
+	OverQuota bool `json:"overQuota,omitempty"`
+	// Unauthorized marks a rejection of a request whose key no tenant has.
+	Unauthorized bool `json:"unauthorized,omitempty"`
 	// OnceOnly asks for a quorum of witnesses before the request is sent; SpareTime is the time that they may take without harm.
 	OnceOnly  bool          `json:"once,omitempty"`
 	SpareTime time.Duration `json:"spare,omitempty"`
@@ -64,6 +68,8 @@
 	Instance string `json:"instance,omitempty"`
 	// Route is the route taken, nil for a request to /v1/services. It is immutable.
 	Route *config.Route `json:"-"`
+	// Tenant names the tenant whose key the request has; empty where it has none.
+	Tenant string `json:"tenant,omitempty"`
 	// UnreadTokens is how many tokens the replica is expected to read, where it batches and other routers should know.
 	UnreadTokens int `json:"unread,omitempty"`
 	// Priority tells the replica how urgent the request is, 0 first.
--- a/router/decisions.go
+++ b/router/decisions.go
@@ -42,6 +42,7 @@
 	case scheduler.Send:
 		r.alreadyRan.add(now, r.requests[a.Request].request)
 	case scheduler.Reject:
+		r.refund(now, r.requests[a.Request])
 		if !a.Repeat {
 			r.alreadyRan.remove(r.requests[a.Request].request)
 		}
@@ -62,13 +63,17 @@
 	d.Resumes, d.UnreadTokens, d.Priority = a.Resumes, a.UnreadTokens, a.Priority
 	service := &r.scheduler.Services[r.scheduler.Replicas[a.Replica].Service]
 	d.MaxConns = r.scheduler.RouterQuota(connectionQuota * float64(service.MaxConns))
-	d.Route = r.requests[a.Request].route
+	live := r.requests[a.Request]
+	d.Route = live.route
 	if d.Route == nil {
 		return
 	}
 	d.Deadline = a.Deadline
+	if live.tenant != nil {
+		d.Tenant = live.tenant.Name
+	}
 	if d.Priority < 0 {
-		d.Priority = d.Route.Priority
+		d.Priority = live.tenant.PriorityOf(d.Route)
 	}
 }
 
--- a/router/events.go
+++ b/router/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/config"
+	"github.com/mallowbridge/mallowbridge/quota"
 )
 
 // Event is what a Router takes. Requests, answers and connections are told by the data path; the configuration, the fleet's routers
@@ -29,6 +30,9 @@
 	// Tokens is the whole prompt, MaxAnswerTokens the longest answer in tokens; 0: not told.
 	Tokens          int `json:"tokens,omitempty"`
 	MaxAnswerTokens int `json:"most,omitempty"`
+	// Key is the hash of the client's key where HasKey.
+	Key    config.KeyHash `json:"-"`
+	HasKey bool           `json:"-"`
 	// Timeout is how long the client will wait; 0: not told.
 	Timeout time.Duration `json:"patience,omitempty"`
 }
@@ -156,6 +160,9 @@
 	Gone    bool
 }
 
+// TenantUsage is what another router tells of the tenants' quotas.
+type TenantUsage struct{ quota.Usage }
+
 // AnswerStarted says that the first part of an answer was passed on to the client.
 type AnswerStarted struct {
 	Request   string `json:"request"`
@@ -221,3 +228,4 @@
 func (Prefill) event()            {}
 func (WrongInstance) event()      {}
 func (Failures) event()           {}
+func (TenantUsage) event()        {}
--- a/router/loop.go
+++ b/router/loop.go
@@ -26,6 +26,8 @@
 	announce func(p Prefill)
 	// Failures carries what the router would tell others of failing replicas; what nobody takes in time is dropped.
 	Failures chan Failures
+	// Usage carries what the router would tell others of tenants' quotas, likewise.
+	Usage chan TenantUsage
 }
 
 // Idle is how long a router loop sleeps at most.
@@ -38,7 +40,7 @@
 func NewLoop(t *tomb.Tomb, r *Router, clock func() time.Duration, every time.Duration) *Loop {
 	l := &Loop{
 		tomb: t, clock: clock, inbox: make(chan loopMessage, loopQueue), router: r, subscribers: map[string]chan Decision{}, every: every,
-		Failures: make(chan Failures, 1),
+		Failures: make(chan Failures, 1), Usage: make(chan TenantUsage, 1),
 	}
 	t.Go(l.run)
 	return l
@@ -61,6 +63,7 @@
 			l.handle(a)
 		}
 		l.reportFailures()
+		l.reportUsage()
 		wake.Reset(l.pause())
 	}
 }
@@ -76,6 +79,17 @@
 	}
 }
 
+func (l *Loop) reportUsage() {
+	u, due := l.router.TenantUsage(l.clock())
+	if !due {
+		return
+	}
+	select {
+	case l.Usage <- u:
+	default:
+	}
+}
+
 const shortestPause = time.Millisecond
 
 // pause is how long the loop may sleep.
--- a/router/route.go
+++ b/router/route.go
@@ -12,20 +12,23 @@
 	"github.com/mallowbridge/mallowbridge/scheduler"
 )
 
-// applyRoutes makes each route a class of every service that it may go to.
+// applyRoutes makes each route, at each priority that tenants have, a class of every service that it may go to.
 func (r *Router) applyRoutes(p *config.Snapshot, used map[scheduler.ClassID]bool) {
 	r.routesByHost = map[string][]*config.Route{}
 	for i := range p.Config.Routes {
 		route := &p.Config.Routes[i]
 		host := hostOnly(route.Host)
 		r.routesByHost[host] = append(r.routesByHost[host], route)
+		priorities := routePriorities(p, route)
 		for _, part := range route.TrafficSplit {
 			service, ok := r.services[part.Service]
 			if !ok {
 				continue
 			}
-			at := r.classRow(service, classKey{name: route.Name, route: true}, used)
-			r.scheduler.Services[service].Classes[at] = routeClass(route)
+			for _, priority := range priorities {
+				at := r.classRow(service, classKey{name: route.Name, route: true, priority: priority}, used)
+				r.scheduler.Services[service].Classes[at] = routeClass(route, priority)
+			}
 		}
 	}
 	for _, routes := range r.routesByHost {
@@ -33,9 +36,9 @@
 	}
 }
 
-func routeClass(route *config.Route) scheduler.Class {
+func routeClass(route *config.Route, priority int) scheduler.Class {
 	return scheduler.Class{
-		Value: 1, Urgency: math.Pow(2, -float64(route.Priority)), FirstTokenBound: orElse(route.FirstToken, route.Timeout),
+		Value: 1, Urgency: math.Pow(2, -float64(priority)), FirstTokenBound: orElse(route.FirstToken, route.Timeout),
 		Repeatable: route.Repeatable || route.Resumable, Resumable: route.Resumable, MaxAttempts: max(route.MaxAttempts, 1), Timeout: route.Timeout,
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -5,6 +5,7 @@
 
 	"github.com/mallowbridge/mallowbridge/config"
 	"github.com/mallowbridge/mallowbridge/prefixindex"
+	"github.com/mallowbridge/mallowbridge/quota"
 	"github.com/mallowbridge/mallowbridge/scheduler"
 )
 
@@ -18,6 +19,8 @@
 	// RememberSentFor and RememberSentMax bound the memory of requests that were sent, in time and number.
 	RememberSentFor time.Duration
 	RememberSentMax int
+	// QuotaWindow is the window within which tenants' quotas hold; 0: quota.DefaultWindow.
+	QuotaWindow time.Duration
 }
 
 // Defaults are the constants that production nodes use.
@@ -43,12 +46,17 @@
 type liveRequest struct {
 	request string
 	route   *config.Route
+	// tenant is nil where the request has no tenant's key.
+	tenant *config.Tenant
+	// cost is what it was charged of its tenant's quota.
+	cost float64
 }
 
-// classKey names a class of a service: a kind of the document, or a route.
+// classKey names a class of a service: a kind of the document, or a route at one priority.
 type classKey struct {
-	name  string
-	route bool
+	name     string
+	route    bool
+	priority int
 }
 
 // Router is the routing state machine of one node or embedding program. It turns events into calls of the scheduler and the
@@ -69,6 +77,8 @@
 	requests   map[int]liveRequest
 	// routesByHost has the longest path prefix first.
 	routesByHost map[string][]*config.Route
+	tenantsByKey map[config.KeyHash]*config.Tenant
+	quotas       *quota.Limiter
 
 	replicaList ReplicaList
 	listReadAt  time.Duration
@@ -83,7 +93,7 @@
 	return &Router{
 		cfg: cfg, scheduler: scheduler.New(cfg.Scheduler), services: map[string]int{}, replicaIDs: map[string]int{},
 		requestIDs: map[string]int{}, requests: map[int]liveRequest{}, alreadyRan: newRequestMemory(cfg.RememberSentFor, cfg.RememberSentMax),
-		attemptPrefix: cfg.Self + "." + cfg.Boot + ".",
+		attemptPrefix: cfg.Self + "." + cfg.Boot + ".", quotas: newQuotas(cfg),
 	}
 }
 
--- a/router/snapshot.go
+++ b/router/snapshot.go
@@ -32,6 +32,7 @@
 			staleCap = min(staleCap, o.StaleCap)
 		}
 	}
+	r.applyTenants(p)
 	r.applyRoutes(p, used)
 	r.applyList(now)
 	r.scheduler.Index.SetCap(staleCap)
--- a/router/step.go
+++ b/router/step.go
@@ -55,6 +55,9 @@
 		r.setSelf(now, e)
 	case Routers:
 		r.scheduler.SetRouters(now, e.byZone(r.cfg.Zone))
+		r.quotas.SetRouters(now, e.Names)
+	case TenantUsage:
+		r.quotas.Learn(now, e.Usage)
 	case ControlStatus:
 		r.scheduler.SetFeed(now, e.Why)
 	case Listing:
@@ -78,6 +81,7 @@
 		r.scheduler.Replicas[i].SameZone = r.scheduler.Replicas[i].Zone == e.Zone
 	}
 	r.scheduler.SetSelf(now, e.Self, e.Zone)
+	r.quotas.SetSelf(e.Self)
 }
 
 func (e Routers) byZone(zone string) []scheduler.RouterZone {
--- /dev/null
+++ b/router/tenants_test.go
@@ -0,0 +1,113 @@
+package router_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/config"
+	"github.com/mallowbridge/mallowbridge/router"
+)
+
+// keyed asks on a path with a key, or without one.
+func keyed(r *router.Router, id, path, key string) []router.Decision {
+	r.Step(convergeTime, router.ControlStatus{})
+	a := router.Arrive{Request: id, Host: "h.example", Path: path, Tokens: 500}
+	if key != "" {
+		a.Key, a.HasKey = config.HashKey(key), true
+	}
+	return r.Step(convergeTime, a)
+}
+
+func tenants(version uint64, list ...config.Tenant) *config.Snapshot {
+	p := routes(version, route("keyed", "/a/", all("a")), route("open", "/open/", all("a")))
+	p.Config.Routes[0].Priority, p.Config.Routes[1].Priority, p.Config.Routes[1].Public = 3, 3, true
+	p.Config.Tenants = list
+	for i := range p.Config.Services {
+		p.Config.Services[i].Stride = 0
+	}
+	return p
+}
+
+func tenant(name string, keys ...string) config.Tenant {
+	one := config.Tenant{Name: name}
+	for _, key := range keys {
+		one.Keys = append(one.Keys, config.HashKey(key))
+	}
+	return one
+}
+
+// TestKeysOfTenants: a route takes requests of known keys only, a public one anybody's; a key's tenant is told either way.
+func TestKeysOfTenants(t *testing.T) {
+	first := tenant("first", "k1", "k2")
+	first.Priority, first.Prioritized = 0, true
+	r := routed(tenants(1, first, tenant("second", "k3")), row("i1", "a"))
+	for _, c := range []struct {
+		path, key, tenant string
+		priority          int
+		refused           bool
+	}{
+		{"/a/x", "k1", "first", 0, false}, {"/a/x", "k2", "first", 0, false}, {"/a/x", "k3", "second", 3, false},
+		{"/a/x", "", "", 0, true}, {"/a/x", "unknown", "", 0, true}, {"/a/x", "k", "", 0, true},
+		{"/open/x", "", "", 3, false}, {"/open/x", "k1", "first", 0, false}, {"/open/x", "unknown", "", 3, false},
+	} {
+		id := c.path + c.key
+		if c.refused {
+			if d := one(t, keyed(r, id, c.path, c.key), router.Reject); !d.Unauthorized || d.Bad {
+				t.Errorf("%s: %+v", id, d)
+			}
+			continue
+		}
+		if d := one(t, keyed(r, id, c.path, c.key), router.Place); d.Tenant != c.tenant || d.Priority != c.priority {
+			t.Errorf("%s: tenant %q, priority %d", id, d.Tenant, d.Priority)
+		}
+		r.Step(convergeTime, router.ClientDisconnected{Request: id})
+	}
+	if d := one(t, keyed(r, "lost", "/nowhere", "k1"), router.Reject); !d.Bad || d.Unauthorized {
+		t.Errorf("no route: %+v", d)
+	}
+}
+
+// TestKeysChangeWithTheConfiguration: keys come and go with versions; without any tenant no key is asked for.
+func TestKeysChangeWithTheConfiguration(t *testing.T) {
+	r := routed(tenants(1, tenant("first", "k1")), row("i1", "a"))
+	one(t, keyed(r, "q1", "/a/x", "k2"), router.Reject)
+	r.Step(convergeTime, router.SnapshotUpdate{Snapshot: tenants(2, tenant("first", "k2"))})
+	one(t, keyed(r, "q2", "/a/x", "k2"), router.Place)
+	one(t, keyed(r, "q3", "/a/x", "k1"), router.Reject)
+	r.Step(convergeTime, router.SnapshotUpdate{Snapshot: tenants(1, tenant("first", "k1"))})
+	one(t, keyed(r, "q4", "/a/x", "k1"), router.Reject)
+	r.Step(convergeTime, router.SnapshotUpdate{Snapshot: tenants(3)})
+	if d := one(t, keyed(r, "q5", "/a/x", "k1"), router.Place); d.Tenant != "" {
+		t.Errorf("%+v", d)
+	}
+}
+
+// TestUrgentTenantGoesFirst lets two tenants wait for one place: the later one of the more urgent tenant gets it.
+func TestUrgentTenantGoesFirst(t *testing.T) {
+	urgent, other := tenant("urgent", "k1"), tenant("other", "k2")
+	urgent.Priority, urgent.Prioritized = 0, true
+	other.Priority, other.Prioritized = 9, true
+	p := tenants(1, other, urgent)
+	for i := range p.Config.Services {
+		p.Config.Services[i].Queues = false
+	}
+	p.Config.Routes[0].FirstToken, p.Config.Routes[0].Timeout = 20*time.Second, time.Minute
+	only := row("i1", "a")
+	only.Capacity = 1
+	r := routed(p, only)
+	running := one(t, keyed(r, "running", "/a/x", "k2"), router.Place)
+	if waiting := append(keyed(r, "late", "/a/x", "k2"), keyed(r, "first", "/a/x", "k1")...); len(waiting) > 0 {
+		t.Fatalf("%+v", waiting)
+	}
+	r.Step(convergeTime, router.ReadyToSend{Request: "running", AttemptID: running.AttemptID})
+	done := r.Step(convergeTime, router.AttemptEnded{Request: "running", AttemptID: running.AttemptID, Result: router.Completed})
+	placed := ""
+	for _, d := range done {
+		if d.Verdict == router.Place {
+			placed = d.Request
+		}
+	}
+	if placed != "first" {
+		t.Errorf("%+v", done)
+	}
+}
