Status leaves the platform's document out: it holds the keys of tenants

Found by reading what shows the document: /v1/status printed it whole. GET /configuration is the operators' and answers it as before.

--- a/control/status.go
+++ b/control/status.go
@@ -35,7 +35,8 @@
 	Deaths         uint64           `json:"deaths"`
 	Refutes        uint64           `json:"refutes"`
 	GossipItems    int              `json:"news"`
-	Config         json.RawMessage  `json:"config,omitempty"`
+	// Config is the product's own document. One of the platform is left out: it holds the keys of tenants.
+	Config json.RawMessage `json:"config,omitempty"`
 }
 
 // Status is the node's state at the time now.
@@ -53,7 +54,10 @@
 		}
 	}
 	if n.value != nil {
-		s.Version, s.Voters, s.Next, s.Config = n.value.Version, n.value.Voters, n.value.Next, n.value.Document
+		s.Version, s.Voters, s.Next = n.value.Version, n.value.Voters, n.value.Next
+		if n.config.Read == nil {
+			s.Config = n.value.Document
+		}
 		s.EvacuatedZones = append(s.EvacuatedZones, n.value.EvacuatedZones...)
 		s.Voter = n.acceptor != nil && n.isVoter()
 	}
