--- a/control/node.go
+++ b/control/node.go
@@ -34,6 +34,8 @@
 	FaultTolerance int
 	// Bootstraps has the seeds found the register by themselves.
 	Bootstraps bool
+	// HidesDocument leaves the operators' document out of the status: it holds secrets.
+	HidesDocument bool
 	// ServesIsolated keeps a node serving by its last snapshot while it is isolated.
 	ServesIsolated bool
 }
--- a/control/status.go
+++ b/control/status.go
@@ -35,7 +35,7 @@
 	Deaths         uint64           `json:"deaths"`
 	Refutes        uint64           `json:"refutes"`
 	GossipItems    int              `json:"news"`
-	// Config is the product's own document. One of the platform is left out: it holds the keys of tenants.
+	// Config is the operators' document, where it holds no secrets.
 	Config json.RawMessage `json:"config,omitempty"`
 }
 
@@ -55,7 +55,7 @@
 	}
 	if n.value != nil {
 		s.Version, s.Voters, s.Next = n.value.Version, n.value.Voters, n.value.Next
-		if n.config.Read == nil {
+		if !n.config.HidesDocument {
 			s.Config = n.value.Document
 		}
 		s.EvacuatedZones = append(s.EvacuatedZones, n.value.EvacuatedZones...)
--- a/control/status_test.go
+++ b/control/status_test.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"testing"
-
-	"github.com/mallowbridge/mallowbridge/config"
 )
 
 // TestStatusShowsNoKeys: the document of a platform may hold secrets, the product's own is part of the status.
@@ -13,9 +11,7 @@
 	for _, platform := range []bool{false, true} {
 		l := newLone()
 		l.n.value = value(1)
-		if platform {
-			l.n.config.Read = func([]byte) (config.Config, error) { return config.Config{}, nil }
-		}
+		l.n.config.HidesDocument = platform
 		text, err := json.Marshal(l.n.Status(l.now))
 		if err != nil {
 			t.Fatal(err)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -33,6 +33,8 @@
 	// FaultTolerance, Bootstraps and ServesIsolated: see control.Config.
 	FaultTolerance             int
 	Bootstraps, ServesIsolated bool
+	// HidesDocument: see control.Config.
+	HidesDocument bool
 	// QuotaWindow: see router.Config.
 	QuotaWindow time.Duration
 }
--- a/daemon/start.go
+++ b/daemon/start.go
@@ -100,6 +100,7 @@
 		FaultTolerance: s.Host.FaultTolerance,
 		Bootstraps:     s.Host.Bootstraps,
 		ServesIsolated: s.Host.ServesIsolated,
+		HidesDocument:  s.Host.HidesDocument,
 	}
 }
 
