review: machines that were told to end find nobody where their seeds are down

A member that left in order is sent to by nobody, and a starting node knows its seeds alone (CONFIG).

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -34,8 +34,10 @@
 // node is one process of mallowbridge.
 type node struct {
 	name, ip, zone, settings string
-	process                  *exec.Cmd
-	ended                    chan struct{}
+	// data is the folder of its disk, empty where it has none.
+	data    string
+	process *exec.Cmd
+	ended   chan struct{}
 }
 
 // fleet is nodes with loopback addresses of one network.
@@ -64,15 +66,27 @@
 		f.nodes = append(f.nodes, n)
 	}
 	for i, n := range f.nodes {
-		data := ""
 		if i < disks {
-			data = filepath.Join(dir, "disk-"+n.name)
+			n.data = filepath.Join(dir, "disk-"+n.name)
 		}
-		if err := os.WriteFile(n.settings, []byte(f.settings(n, data)), 0o600); err != nil {
-			return nil, err
+	}
+	return f, f.write(true, 0, 1, 2)
+}
+
+// write writes the settings of all nodes.
+func (f *fleet) write(first bool, seeds ...int) error {
+	for _, n := range f.nodes {
+		if err := os.WriteFile(n.settings, []byte(f.settings(n, first, seeds)), 0o600); err != nil {
+			return err
 		}
 	}
-	return f, nil
+	return nil
+}
+
+// rename writes settings for later starts, which name other seeds.
+func (f *fleet) rename(seeds ...int) error {
+	f.record.say("the settings name other seeds: %s, %s, %s", f.nodes[seeds[0]].name, f.nodes[seeds[1]].name, f.nodes[seeds[2]].name)
+	return f.write(false, seeds...)
 }
 
 // free tells whether nobody listens on a network's addresses.
@@ -88,16 +102,16 @@
 }
 
 // settings is the settings file of a node of the small deployment tramites-andinos-hq.
-func (f *fleet) settings(n *node, data string) string {
+func (f *fleet) settings(n *node, first bool, seeds []int) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "nodeName: %q\nrole: \"node\"\nmachineClass: \"frontend\"\nserves: [\"frontend\", \"control_plane\"]\nipAddress: %q\nzone: %q\n", n.name, n.ip, n.zone)
 	b.WriteString("region: \"santiago\"\nzones: {sala-norte: \"santiago\", sala-centro: \"santiago\", sala-sur: \"santiago\"}\n")
 	fmt.Fprintf(&b, "bindAddresses: {front: \"%s:%d\", readiness: \"%s:%d\", control: \"%s:%d\"}\n", n.ip, frontPort, n.ip, readinessPort, n.ip, controlPort)
-	fmt.Fprintf(&b, "internalPortRange: [%d, %d]\nseedNodes: [%q, %q, %q]\n", firstPort, lastPort, f.control(0), f.control(1), f.control(2))
-	fmt.Fprintf(&b, "firstStart: true\ncountsTowardQuorum: %v\n", data != "")
+	fmt.Fprintf(&b, "internalPortRange: [%d, %d]\nseedNodes: [%q, %q, %q]\n", firstPort, lastPort, f.control(seeds[0]), f.control(seeds[1]), f.control(seeds[2]))
+	fmt.Fprintf(&b, "firstStart: %v\ncountsTowardQuorum: %v\n", first, n.data != "")
 	b.WriteString("limits: {cpuShare: 0.72, cpuCores: 1, memoryMb: 244, maxFileDescriptors: 4100, linkMbps: 1000.0, diskMb: 64}\n")
-	if data != "" {
-		fmt.Fprintf(&b, "dataDirectory: %q\n", data)
+	if n.data != "" {
+		fmt.Fprintf(&b, "dataDirectory: %q\n", n.data)
 	}
 	b.WriteString(`discovery: "cloud"
 entryMode: "virtual_ip"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -42,7 +42,7 @@
 	"evacuation": {nodes: 6, disks: 3, play: playEvacuation},
 	"limits":     {nodes: 3, disks: 3, play: playLimits},
 	"upload":     {nodes: 3, disks: 3, play: playUpload},
-	"cold":       {nodes: 3, disks: 3, play: playCold},
+	"seeds":      {nodes: 8, disks: 3, play: playSeeds},
 }
 
 func main() {
