--- a/review/standin/seeds.go
+++ b/review/standin/seeds.go
@@ -15,7 +15,7 @@
 
 // playSeeds names other seeds, which don't count, loses these, and then stops and starts two machines of the core in turn. Rule CONFIG: the
 // configuration that was acknowledged comes when it is read back. TROUBLE=seeds leaves the restarts out, TROUBLE=roll the loss of the
-// seeds; TROUBLE=kill has the machines killed, not stopped.
+// seeds; TROUBLE=kill has the machines killed, not stopped, and TROUBLE=all has all that run killed at once instead.
 func playSeeds(w *world) (bool, error) {
 	for i := range 6 {
 		if _, err := w.platform.add("huvo11a", zones[i%3], manner{work: 30 * time.Millisecond}); err != nil {
@@ -39,7 +39,11 @@
 		}
 	}
 	time.Sleep(5 * time.Second)
-	if w.trouble && w.mode != "seeds" {
+	if w.mode == "all" {
+		if err := w.restartAll([]int{0, 1, 2, 6, 7}); err != nil {
+			return false, err
+		}
+	} else if w.trouble && w.mode != "seeds" {
 		for _, i := range []int{0, 1} {
 			if err := w.restart(i); err != nil {
 				return false, err
@@ -71,6 +75,24 @@
 	return nil
 }
 
+// restartAll kills nodes at the same moment and starts them again.
+func (w *world) restartAll(running []int) error {
+	for _, i := range running {
+		w.fleet.signal(i, syscall.SIGKILL)
+	}
+	for _, i := range running {
+		<-w.fleet.nodes[i].ended
+	}
+	time.Sleep(away)
+	for _, i := range running {
+		if err := w.fleet.start(i); err != nil {
+			return err
+		}
+	}
+	time.Sleep(2 * betweenStop)
+	return nil
+}
+
 // judgeReadBack asks all running nodes for the configuration, again and again.
 func (w *world) judgeReadBack(running []int) bool {
 	asked, came := 0, 0
