--- a/review/standin/limits.go
+++ b/review/standin/limits.go
@@ -28,16 +28,16 @@
 			clients = append(clients, &client{record: w.record, front: w.fleet.front(i)})
 		}
 	}
-	outcomes := w.rounds(clients, 15, 12<<10)
+	outcomes := rounds(clients, 15, 12<<10)
 	longer := 12 << 10
 	if w.trouble {
 		if err := w.order(0, "PUT", "/configuration", "1", configuration(2, 32768, 0, plain)); err != nil {
 			return false, err
 		}
 		longer = 28 << 10
-		outcomes = append(outcomes, w.rounds(clients, 15, 12<<10)...)
+		outcomes = append(outcomes, rounds(clients, 15, 12<<10)...)
 	}
-	outcomes = append(outcomes, w.rounds(clients, 5, longer)...)
+	outcomes = append(outcomes, rounds(clients, 5, longer)...)
 	denied := 0
 	for _, o := range outcomes {
 		if o.status >= 400 && o.status < 500 && o.status != 408 && o.status != 421 && o.status != 429 {
@@ -50,7 +50,7 @@
 }
 
 // rounds has each client send a request with so many bytes of headers every 0.2 s.
-func (w *world) rounds(clients []*client, count, headers int) []outcome {
+func rounds(clients []*client, count, headers int) []outcome {
 	var all []outcome
 	var lock sync.Mutex
 	for range count {
--- a/review/standin/seeds.go
+++ b/review/standin/seeds.go
@@ -33,24 +33,38 @@
 		return false, err
 	}
 	if w.trouble && w.mode != "roll" {
-		for _, i := range []int{3, 4, 5} {
-			w.fleet.signal(i, syscall.SIGKILL)
-			<-w.fleet.nodes[i].ended
-		}
+		w.lose(3, 4, 5)
 	}
 	time.Sleep(5 * time.Second)
-	if w.mode == "all" {
-		if err := w.restartAll([]int{0, 1, 2, 6, 7}); err != nil {
-			return false, err
-		}
-	} else if w.trouble && w.mode != "seeds" {
-		for _, i := range []int{0, 1} {
-			if err := w.restart(i); err != nil {
-				return false, err
-			}
+	running := []int{0, 1, 2, 6, 7}
+	if err := w.stopAndStart(running); err != nil {
+		return false, err
+	}
+	return w.judgeReadBack(running), nil
+}
+
+// lose ends nodes for good.
+func (w *world) lose(nodes ...int) {
+	for _, i := range nodes {
+		w.fleet.signal(i, syscall.SIGKILL)
+		<-w.fleet.nodes[i].ended
+	}
+}
+
+// stopAndStart restarts two machines of the core in turn, or what TROUBLE says.
+func (w *world) stopAndStart(running []int) error {
+	switch {
+	case w.mode == "all":
+		return w.restartAll(running)
+	case !w.trouble || w.mode == "seeds":
+		return nil
+	}
+	for _, i := range running[:2] {
+		if err := w.restart(i); err != nil {
+			return err
 		}
 	}
-	return w.judgeReadBack([]int{0, 1, 2, 6, 7}), nil
+	return nil
 }
 
 // restart stops a node, waits until its process has ended, and starts it again.
