--- a/review/standin/evacuation.go
+++ b/review/standin/evacuation.go
@@ -16,7 +16,7 @@
 // seconds. Rule EVAC: no request may arrive in a zone later than evacuationMs after its evacuation was acknowledged, until that is taken back.
 func playEvacuation(w *world) (bool, error) {
 	for i := range 6 {
-		if _, err := w.platform.add("huvo11a", zones[i%3], manner{work: 30 * time.Millisecond}); err != nil {
+		if _, err := w.platform.add("huvo11a", zones[i%3], behavior{work: 30 * time.Millisecond}); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin/limits.go
+++ b/review/standin/limits.go
@@ -14,7 +14,7 @@
 // DENIED and CONFIG: proper requests that every configuration that may be in force allows are not ended with a 4xx of the system's own.
 func playLimits(w *world) (bool, error) {
 	for i := range 6 {
-		if _, err := w.platform.add("huvo11a", zones[i%3], manner{work: 10 * time.Millisecond}); err != nil {
+		if _, err := w.platform.add("huvo11a", zones[i%3], behavior{work: 10 * time.Millisecond}); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,13 +31,13 @@
 	mode string
 }
 
-// A scene plays one case and tells whether its rule was broken.
-type scene struct {
+// A scenario plays one case and tells whether its rule was broken.
+type scenario struct {
 	nodes, disks int
 	play         func(w *world) (bool, error)
 }
 
-var scenes = map[string]scene{
+var scenarios = map[string]scenario{
 	"resume":     {nodes: 3, disks: 3, play: playResume},
 	"evacuation": {nodes: 6, disks: 3, play: playEvacuation},
 	"limits":     {nodes: 3, disks: 3, play: playLimits},
@@ -46,14 +46,14 @@
 }
 
 func main() {
-	if len(os.Args) != 4 || scenes[os.Args[1]].play == nil {
+	if len(os.Args) != 4 || scenarios[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT RECORD")
 		os.Exit(invalid)
 	}
-	os.Exit(run(scenes[os.Args[1]], os.Args[2], os.Args[3]))
+	os.Exit(run(scenarios[os.Args[1]], os.Args[2], os.Args[3]))
 }
 
-func run(s scene, root, recordPath string) int {
+func run(s scenario, root, recordPath string) int {
 	rec, err := openRecord(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -85,7 +85,7 @@
 	return result
 }
 
-func (w *world) run(s scene, root, dir string) int {
+func (w *world) run(s scenario, root, dir string) int {
 	var err error
 	if w.fleet, err = newFleet(w.record, root, dir, s.nodes, s.disks); err != nil {
 		w.record.say("no fleet: %v", err)
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -34,11 +34,11 @@
 }
 
 // add starts a replica on an address of its own.
-func (p *platform) add(service, zone string, work manner) (*replica, error) {
+func (p *platform) add(service, zone string, work behavior) (*replica, error) {
 	p.lock.Lock()
 	defer p.lock.Unlock()
 	at := len(p.replicas)
-	r := &replica{record: p.record, instance: fmt.Sprintf("i-%04x", at+1), service: service, zone: zone, manner: work}
+	r := &replica{record: p.record, instance: fmt.Sprintf("i-%04x", at+1), service: service, zone: zone, behavior: work}
 	lis, err := net.Listen("tcp", fmt.Sprintf("%s%d:%d", p.fleet.network, firstReplica+at, replicaPort))
 	if err != nil {
 		return nil, err
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -13,15 +13,15 @@
 	"time"
 )
 
-// manner is how a replica works: how long a plain request takes, how many events a stream has, and the pause between them.
-type manner struct {
+// behavior is how a replica works: how long a plain request takes, how many events a stream has, and the pause between them.
+type behavior struct {
 	work   time.Duration
 	events int
 	pause  time.Duration
 }
 
-// ran is one run of a request at a replica.
-type ran struct {
+// execution is one run of a request at a replica.
+type execution struct {
 	at                                time.Time
 	instance, attempt, line, from, id string
 	body                              string
@@ -34,12 +34,12 @@
 type replica struct {
 	record                           *record
 	instance, service, zone, address string
-	manner                           manner
+	behavior                         behavior
 	server                           *http.Server
 	gone                             atomic.Bool
 	cold                             atomic.Int64
 	lock                             sync.Mutex
-	runs                             []*ran
+	runs                             []*execution
 }
 
 // streamPath begins the path of requests that are answered with a stream of events.
@@ -55,10 +55,10 @@
 }
 
 // all gives the runs so far.
-func (r *replica) all() []ran {
+func (r *replica) all() []execution {
 	r.lock.Lock()
 	defer r.lock.Unlock()
-	var runs []ran
+	var runs []execution
 	for _, one := range r.runs {
 		runs = append(runs, *one)
 	}
@@ -87,7 +87,7 @@
 	if err != nil {
 		return
 	}
-	one := &ran{
+	one := &execution{
 		at: time.Now(), instance: r.instance, attempt: attempt, line: q.Method + " " + q.RequestURI, from: q.Header.Get("Last-Event-Id"),
 		body: sum(body), bytes: len(body), id: q.Header.Get("X-Model") + "|" + q.Header.Get("X-Token-Usage") + "|" + q.Header.Get("X-Prompt-Prefix"),
 	}
@@ -113,7 +113,7 @@
 	select {
 	case <-q.Context().Done():
 		return false
-	case <-time.After(r.manner.work):
+	case <-time.After(r.behavior.work):
 	}
 	answer := strings.Repeat("x", 800)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
@@ -121,18 +121,18 @@
 	return err == nil
 }
 
-func (r *replica) stream(w http.ResponseWriter, q *http.Request, one *ran) bool {
+func (r *replica) stream(w http.ResponseWriter, q *http.Request, one *execution) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	ctl := http.NewResponseController(w)
 	after, _ := strconv.Atoi(one.from)
-	for id := after + 1; id <= r.manner.events; id++ {
+	for id := after + 1; id <= r.behavior.events; id++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s made of body %s\n\n", id, r.instance, one.body); err != nil || ctl.Flush() != nil {
 			return false
 		}
 		select {
 		case <-q.Context().Done():
 			return false
-		case <-time.After(r.manner.pause):
+		case <-time.After(r.behavior.pause):
 		}
 	}
 	return true
--- a/review/standin/resume.go
+++ b/review/standin/resume.go
@@ -12,7 +12,7 @@
 // request whose method, path, query or body is another than the client's.
 func playResume(w *world) (bool, error) {
 	for i := range 6 {
-		if _, err := w.platform.add("huvo11a", zones[i%3], manner{work: 20 * time.Millisecond, events: 60, pause: 100 * time.Millisecond}); err != nil {
+		if _, err := w.platform.add("huvo11a", zones[i%3], behavior{work: 20 * time.Millisecond, events: 60, pause: 100 * time.Millisecond}); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin/seeds.go
+++ b/review/standin/seeds.go
@@ -18,7 +18,7 @@
 // seeds; TROUBLE=kill has the machines killed, not stopped, and TROUBLE=all has all that run killed at once instead.
 func playSeeds(w *world) (bool, error) {
 	for i := range 6 {
-		if _, err := w.platform.add("huvo11a", zones[i%3], manner{work: 30 * time.Millisecond}); err != nil {
+		if _, err := w.platform.add("huvo11a", zones[i%3], behavior{work: 30 * time.Millisecond}); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -22,7 +22,7 @@
 // complete answer once its request was read whole and passed on.
 func playUpload(w *world) (bool, error) {
 	for i := range 6 {
-		if _, err := w.platform.add("huvo11a", zones[i%3], manner{work: 4 * time.Second}); err != nil {
+		if _, err := w.platform.add("huvo11a", zones[i%3], behavior{work: 4 * time.Second}); err != nil {
 			return false, err
 		}
 	}
