--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -26,7 +26,7 @@
 			return false, err
 		}
 	}
-	work := route{Name: "r-wrr6x73", Hostname: host, PathPrefix: "/work/", RouteType: "unsafe", TimeoutMs: 15000, TargetLatencyMs: 5000, Priority: 0, TargetService: "huvo11a", MaxAttempts: 1}
+	work := route{Name: "r-wrr6x73", Hostname: host, PathPrefix: "/jobs/", RouteType: "unsafe", TimeoutMs: 15000, TargetLatencyMs: 5000, Priority: 0, TargetService: "huvo11a", MaxAttempts: 1}
 	if err := w.begin(configuration(1, 16384, 0, work)); err != nil {
 		return false, err
 	}
@@ -40,7 +40,7 @@
 			defer clients.Done()
 			c := &client{record: w.record, front: w.fleet.front(last)}
 			defer c.close()
-			o := c.ask(request{path: "/work/2f", body: bytes.Repeat([]byte{byte('a' + n)}, uploadSize), deadline: 15 * time.Second, pace: uploadPace})
+			o := c.ask(request{path: "/jobs/2f", body: bytes.Repeat([]byte{byte('a' + n)}, uploadSize), deadline: 15 * time.Second, pace: uploadPace})
 			lock.Lock()
 			defer lock.Unlock()
 			all = append(all, o)
