Scheduler: a shorter bound in a later configuration cuts no request that runs

A request of the product's own interface runs, a configuration shortens its class's bound on the first token, and the request is cut at its replica as silent.

Cause: checkTimeouts read the bound from the class of now. Change: it takes the bound that the request had at its arrival (Due - ArrivedAt).

Evidence: TestShorterBoundLeavesRunningRequestsAlone fails on (Cancel, then Unknown) and passes now.

--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -200,7 +200,7 @@
 			s.checkDeadline(now, id, req)
 			continue
 		}
-		if req.Answered || now-req.SentAt < max(s.cfg.ResponseTimeout, 2*class.FirstTokenBound) {
+		if req.Answered || now-req.SentAt < max(s.cfg.ResponseTimeout, 2*req.firstTokenBound()) {
 			continue
 		}
 		s.Counters.Silent++
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -69,6 +69,9 @@
 	priority float64
 }
 
+// firstTokenBound is the aim for the first token that its class had at its arrival.
+func (req *Request) firstTokenBound() time.Duration { return req.Due - req.ArrivedAt }
+
 // needsNoWitnesses tells whether an attempt may be sent without asking witnesses: the request may be repeated, is routed, or they agreed.
 func (req *Request) needsNoWitnesses(s *Scheduler) bool {
 	class := &s.Services[req.Service].Classes[req.Class]
--- a/scheduler/secondattempt_test.go
+++ b/scheduler/secondattempt_test.go
@@ -105,3 +105,18 @@
 		})
 	}
 }
+
+// TestShorterBoundLeavesRunningRequestsAlone guards against a request of the product's own interface that is cut at its replica because a
+// later configuration gives its class a shorter bound.
+func TestShorterBoundLeavesRunningRequestsAlone(t *testing.T) {
+	patient := Class{Value: 1, Urgency: 1, FirstTokenBound: 20 * time.Second, Repeatable: true}
+	m := market(1, patient)
+	id, _ := start(t, m, now)
+	m.Services[0].Classes[0].FirstTokenBound = time.Second
+	later := now + 30*time.Second
+	m.SetFeed(later, "")
+	only(t, m.Tick(later))
+	if req := m.Requests.get(id); req == nil || req.State != Sent {
+		t.Errorf("the request is %+v", req)
+	}
+}
