Proxy: a request that let its body go is not sent again, whatever the router names

Cause: the body is kept or let go by the route of one placement, and sending again was judged by the route, or the Resumes, of a later one.

Change: Exchange notes at its first placement whether the request may be repeated. The body, kept connections and every later placement go by that note.

Evidence: on TestRequestWithoutItsBodyIsNotSentAgain, TestExchangeSteps, TestExchangeStates and both tests of any order fail; they pass now.

Tests: three of the exchange's tests held the fault for right: "resumed" and "twice where it may be" began on a route that forbids it, the judge took Resumes for a permission, and the exploration of states left such placements out. They begin on a route that allows it now, the opposite cases stand beside them, the judge goes by the first route, and the exploration plays those placements too.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -27,6 +27,9 @@
 	// CannotResume tells that what was passed on cannot be resumed at another replica.
 	CannotResume bool
 	phase        phase
+	// placed tells that there was a placement; repeatable is what its route says. Placements that follow don't change it, whatever route
+	// they name: the body may be gone.
+	placed, repeatable bool
 	// stream tells that the answer being passed on is a stream, flat that bytes of one that is none were passed on.
 	stream, flat     bool
 	began            bool
@@ -96,11 +99,30 @@
 	e.notify(router.AttemptEnded{Request: e.Request, AttemptID: e.Placement.AttemptID, Result: how})
 }
 
-// repeats tells whether a request that may have run may be written again.
-func repeats(d router.Decision) bool { return d.Resumes || mayRepeat(d.Route) }
-
 func mayRepeat(r *config.Route) bool { return r != nil && (r.Repeatable || r.Resumable) }
 
+// mayPlace tells whether the request may go to the replica that the router chose, after what became of it so far.
+func (e *Exchange) mayPlace(d router.Decision) bool {
+	if e.began && (e.CannotResume || e.flat || !d.Resumes) {
+		return false
+	}
+	return e.repeatable || !e.mayHaveRun()
+}
+
+func (e *Exchange) place(d router.Decision) {
+	if !e.placed {
+		e.placed, e.repeatable = true, mayRepeat(d.Route)
+	}
+	if !e.mayPlace(d) {
+		e.notify(router.ClientDisconnected{Request: e.Request})
+		e.finish(Unknown, "", 0)
+		return
+	}
+	e.abandonAttempt()
+	e.Placement, e.phase = d, connecting
+	e.do(Action{Kind: Connect})
+}
+
 // Decided takes a decision of the router and gives the actions to carry out, in order.
 func (e *Exchange) Decided(d router.Decision) []Action {
 	if e.over || (e.phase != none && d.AttemptID != "" && d.AttemptID != e.Placement.AttemptID && d.Verdict != router.Place) {
@@ -108,14 +130,7 @@
 	}
 	switch d.Verdict {
 	case router.Place:
-		if (e.began && (e.CannotResume || e.flat || !d.Resumes)) || (e.mayHaveRun() && !repeats(d)) {
-			e.notify(router.ClientDisconnected{Request: e.Request})
-			e.finish(Unknown, "", 0)
-			break
-		}
-		e.abandonAttempt()
-		e.Placement, e.phase = d, connecting
-		e.do(Action{Kind: Connect})
+		e.place(d)
 	case router.Send:
 		if e.phase == connected {
 			e.phase = written
--- a/proxy/exchange_test.go
+++ b/proxy/exchange_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/mallowbridge/mallowbridge/config"
 	"github.com/mallowbridge/mallowbridge/proxy"
 	"github.com/mallowbridge/mallowbridge/router"
 )
@@ -45,8 +46,12 @@
 	deny := router.Decision{Verdict: router.Reject, RetryAfter: time.Second}
 	repeated := place("b")
 	repeated.Route = safe
+	repeatable := place("a")
+	repeatable.Route = safe
+	resumable := place("a")
+	resumable.Route = streams
 	onward := place("b")
-	onward.Resumes = true
+	onward.Route, onward.Resumes = streams, true
 	stream := proxy.Replied{Status: 200, Stream: true}
 	for _, c := range []struct {
 		name  string
@@ -77,11 +82,15 @@
 			"connect|ReadyToSend|write|drop AttemptEnded(broken)|finish4"},
 		{"never twice", []any{place("a"), proxy.Connected{}, send("a"), proxy.ConnectionLost{}, place("b")},
 			"connect|ReadyToSend|write|drop AttemptEnded(broken)|ClientDisconnected finish4"},
-		{"twice where it may be", []any{place("a"), proxy.Connected{}, send("a"), proxy.ConnectionLost{}, repeated, proxy.Connected{}, send("b"), send("b")},
+		{"twice where it may be", []any{repeatable, proxy.Connected{}, send("a"), proxy.ConnectionLost{}, repeated, proxy.Connected{}, send("b"), send("b")},
 			"connect|ReadyToSend|write|drop AttemptEnded(broken)|connect|ReadyToSend|write|"},
-		{"resumed", []any{place("a"), proxy.Connected{}, send("a"), stream, proxy.Begun{}, proxy.ConnectionLost{}, onward, proxy.Connected{}, send("b"), stream, proxy.Begun{}, proxy.Ended{}},
+		{"resumed", []any{resumable, proxy.Connected{}, send("a"), stream, proxy.Begun{}, proxy.ConnectionLost{}, onward, proxy.Connected{}, send("b"), stream, proxy.Begun{}, proxy.Ended{}},
 			"connect|ReadyToSend|write|AnswerHead pass|AnswerStarted|drop AttemptEnded(broken)|connect|ReadyToSend|write|AnswerHead pass|AnswerStarted|AttemptEnded(whole) finish1"},
-		{"not resumed from the start", []any{place("a"), proxy.Connected{}, send("a"), stream, proxy.Begun{}, proxy.ConnectionLost{}, repeated},
+		{"not resumed where the route became resumable later", []any{place("a"), proxy.Connected{}, send("a"), stream, proxy.Begun{}, proxy.ConnectionLost{}, onward},
+			"connect|ReadyToSend|write|AnswerHead pass|AnswerStarted|drop AttemptEnded(broken)|ClientDisconnected finish6"},
+		{"not repeated where the route became repeatable later", []any{place("a"), proxy.Connected{}, send("a"), proxy.ConnectionLost{}, repeated},
+			"connect|ReadyToSend|write|drop AttemptEnded(broken)|ClientDisconnected finish4"},
+		{"not resumed from the start", []any{resumable, proxy.Connected{}, send("a"), stream, proxy.Begun{}, proxy.ConnectionLost{}, repeated},
 			"connect|ReadyToSend|write|AnswerHead pass|AnswerStarted|drop AttemptEnded(broken)|ClientDisconnected finish6"},
 		{"capped", []any{place("a"), proxy.Unconnected{Capped: true}, deny}, "connect|AttemptEnded(refused)|finish2"},
 		{"overdue before the write", []any{place("a"), proxy.Connected{}, send("a"), proxy.DeadlinePassed{Unwritten: true}},
@@ -115,9 +124,10 @@
 	sends, writes, finishes int
 	open, written, passing  bool
 	began, mayRun           bool
-	place                   router.Decision
-	steps                   []any
-	moves                   [][]proxy.Action
+	// route is that of the first placement.
+	route *config.Route
+	steps []any
+	moves [][]proxy.Action
 }
 
 func (j *judge) fail(why string) {
@@ -139,7 +149,9 @@
 		j.fail("moves after the end")
 	}
 	if d, ok := s.(router.Decision); ok && d.Verdict == router.Place {
-		j.place = d
+		if j.route == nil {
+			j.route = d.Route
+		}
 	}
 	r, replied := s.(proxy.Replied)
 	overdue, isOverdue := s.(proxy.DeadlinePassed)
@@ -162,7 +174,7 @@
 		}
 		j.open = true
 	case proxy.Write:
-		repeated := j.place.Resumes || j.place.Route.Repeatable || j.place.Route.Resumable
+		repeated := j.route.Repeatable || j.route.Resumable
 		if j.writes++; j.writes > j.sends || !j.open || (j.mayRun && !repeated) {
 			j.fail("written without leave")
 		}
--- a/proxy/pass.go
+++ b/proxy/pass.go
@@ -6,7 +6,7 @@
 )
 
 func (x *transfer) passAnswer() {
-	if route := x.exchange.Placement.Route; route == nil || (!route.Repeatable && !route.Resumable) {
+	if !x.exchange.repeatable {
 		x.memory.give(len(x.body))
 		x.body = nil
 	}
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -23,7 +23,7 @@
 		}
 		x.resp = resp
 		s := x.replied(resp)
-		if !s.Foreign || s.Open || x.repeatable() || x.conn.hadHEAD || !x.discard() {
+		if !s.Foreign || s.Open || x.exchange.repeatable || x.conn.hadHEAD || !x.discard() {
 			x.signal(s)
 			return
 		}
@@ -65,7 +65,7 @@
 
 // fit tells whether a kept connection is still to be used: it was taken before the leave to send came.
 func (x *transfer) fit(now time.Time) bool {
-	if x.repeatable() {
+	if x.exchange.repeatable {
 		return now.Before(x.conn.usableUntil)
 	}
 	return now.Before(x.conn.safeUntil) && x.conn.alive()
--- a/proxy/states_test.go
+++ b/proxy/states_test.go
@@ -74,7 +74,7 @@
 
 func (w *world) restore(route *config.Route) Exchange {
 	k := w.exchange
-	e := Exchange{Request: "q", CannotResume: k.stuck, stream: k.stream, flat: k.flat, began: k.began, mayHaveRunBefore: k.mayRun, over: k.over, phase: k.phase}
+	e := Exchange{Request: "q", CannotResume: k.stuck, stream: k.stream, flat: k.flat, began: k.began, mayHaveRunBefore: k.mayRun, over: k.over, phase: k.phase, placed: true, repeatable: mayRepeat(route)}
 	e.Placement = router.Decision{AttemptID: k.place.attempt, Resumes: k.place.resumes, Route: route}
 	return e
 }
@@ -108,7 +108,7 @@
 		d := d
 		switch d.Verdict {
 		case router.Place:
-			if int(w.attempts) == *statesAttempts || (d.Resumes && !e.Placement.Route.Resumable) {
+			if int(w.attempts) == *statesAttempts {
 				return nil, false
 			}
 			w.attempts++
--- a/proxy/transfer.go
+++ b/proxy/transfer.go
@@ -93,11 +93,9 @@
 // nameless tells that answers to this request cannot be told from others': replicas answer with an id, but it has none.
 func (x *transfer) nameless() bool { return x.proxy.headers.Attempt != "" && x.attempt() == "" }
 
-func (x *transfer) repeatable() bool { return mayRepeat(x.exchange.Placement.Route) }
-
 func (x *transfer) connect() {
 	d := &x.exchange.Placement
-	w := connRequest{key: key{addr: d.Addr, instance: d.Instance}, conns: d.MaxConns, attempt: x.attempt(), repeatable: x.repeatable(), newOnly: x.nameless()}
+	w := connRequest{key: key{addr: d.Addr, instance: d.Instance}, conns: d.MaxConns, attempt: x.attempt(), repeatable: x.exchange.repeatable, newOnly: x.nameless()}
 	c, err := x.proxy.pool.take(x.r.Context(), w)
 	var capped *CappedError
 	switch {
--- /dev/null
+++ b/router/onedecision_test.go
@@ -0,0 +1,71 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/config"
+	"github.com/mallowbridge/mallowbridge/router"
+)
+
+const (
+	// configurationSeeds is how many seeds the test below plays, configurationRequests how many requests each.
+	configurationSeeds    = 200
+	configurationRequests = 40
+	// configurationPause lets a replica that failed be used again.
+	configurationPause = 10 * time.Second
+)
+
+// routeOfType gives a route that is unsafe, safe or resumable.
+func routeOfType(rng *rand.Rand) config.Route {
+	r := route("k", "/", all("a"))
+	r.Streaming = true
+	r.Repeatable, r.Resumable = rng.IntN(3) == 0, rng.IntN(3) == 0
+	r.MaxAttempts = 1 + rng.IntN(3)
+	return r
+}
+
+// TestRunningRequestKeepsThePermissionsOfItsArrival guards against UNASKED and TWICE: a request that runs while configurations change its
+// route is sent again, or resumed, only where the route that it arrived on allows that; the data path keeps or drops the body by that route.
+func TestRunningRequestKeepsThePermissionsOfItsArrival(t *testing.T) {
+	again := 0
+	for seed := range uint64(configurationSeeds) {
+		rng := rand.New(rand.NewPCG(seed, 33))
+		version := uint64(1)
+		snapshot := routes(version, routeOfType(rng))
+		r := routed(snapshot, row("i1", "a"), row("i2", "a"), row("i3", "a"))
+		for i := range configurationRequests {
+			at := convergeTime + time.Duration(i)*configurationPause
+			id, arrivedOn := fmt.Sprint("q", i), &snapshot.Config.Routes[0]
+			first := one(t, get(r, at, id, "/x"), router.Place)
+			r.Step(at, router.ReadyToSend{Request: id, AttemptID: first.AttemptID})
+			began := rng.IntN(2) == 0
+			if began {
+				r.Step(at, router.AnswerHead{Request: id, AttemptID: first.AttemptID})
+				r.Step(at, router.AnswerStarted{Request: id, AttemptID: first.AttemptID})
+			}
+			for range rng.IntN(3) {
+				version++
+				snapshot = routes(version, routeOfType(rng))
+				r.Step(at, router.SnapshotUpdate{Snapshot: snapshot})
+			}
+			for _, d := range r.Step(at, router.AttemptEnded{Request: id, AttemptID: first.AttemptID, Result: router.Failed}) {
+				if d.Verdict != router.Place {
+					continue
+				}
+				again++
+				allowed := arrivedOn.Repeatable || arrivedOn.Resumable
+				if d.Route != arrivedOn || d.Resumes != began || (began && !arrivedOn.Resumable) || !allowed {
+					t.Fatalf("seed %d, request %d, begun %v, arrived on %+v: %+v", seed, i, began, *arrivedOn, d)
+				}
+			}
+			r.Step(at, router.ClientDisconnected{Request: id})
+		}
+	}
+	if again == 0 {
+		t.Error("no request was placed again")
+	}
+	t.Logf("%d requests were placed again", again)
+}
