Orders: an order whose caller has left is not begun

The gate sees processes that stood still, not bytes that lay in the network; the fence is set when the late order first reads a majority. The record of the case shows the end of the connection right behind the order.

Change: an order without a version waits 0.2 s (TCP's shortest retransmission time-out) for the end of its caller's connection and asks the socket; after that the end of the request's context cancels it at the proposer (control.Cancel, Proposer.Cancel), which acts as at a deadline. Configurations name their revision: not held, but cancelled too. The product's own interface passes the gate and the check as well. Counters orders.callersLeft and orders.stale, a log line for each order on a zone.

--- a/cmd/mallowbridge/daemon.go
+++ b/cmd/mallowbridge/daemon.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -102,11 +103,12 @@
 		return control.WitnessOutcome(h.Call(control.Witness{Request: request, SpareTime: margin, Peek: peek}))
 	}, httpapi.DefaultLimits(s.MaxBody, s.MaxStreams))
 	g.NodeID = h.FrontendID
-	ops := &httpapi.Operations{Control: h, Frontend: g, Clock: daemon.Clock, Extra: func() map[string]uint64 { return transportCounters(h) }}
+	ops := &httpapi.Operations{Control: h, Frontend: g, Clock: daemon.Clock, Extra: func() map[string]uint64 { return daemonCounters(h) }}
 	routes := bunrouter.New()
 	ops.Routes(routes)
 	srv := &http.Server{
 		Handler: routes, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10,
+		ConnContext: h.Gate.ConnContext,
 	}
 	t.Go(func() error { return served(srv.Serve(lis)) })
 	lg.Info().Str("listen", s.Listen).Str("http", s.HTTP).Str("domain", s.Zone).Msg("started")
@@ -125,12 +127,13 @@
 	return err
 }
 
-// transportCounters are published as "wire.*", as operators know them.
-func transportCounters(h *daemon.Daemon) map[string]uint64 {
+// daemonCounters are published as "wire.*", as operators know them, and "orders.*": orders that were not begun.
+func daemonCounters(h *daemon.Daemon) map[string]uint64 {
 	n := &h.Net.N
 	return map[string]uint64{
 		"wire.sent": n.Sent.Load(), "wire.bytes": n.Bytes.Load(), "wire.dropped": n.Dropped.Load(),
 		"wire.unreadable": n.Unreadable.Load(), "wire.dials": n.Dials.Load(),
+		"orders.stale": h.Gate.Stale.Load(), "orders.callersLeft": h.Gate.CallersLeft.Load(),
 	}
 }
 
@@ -153,7 +156,7 @@
 // streams.
 func drain(h *daemon.Daemon, g *httpapi.Frontend, reload chan os.Signal, most time.Duration) {
 	g.Retire()
-	h.CallBy(daemon.Clock()+retireWithin, control.Retire{})
+	h.CallBy(context.Background(), daemon.Clock()+retireWithin, control.Retire{})
 	end := time.After(most)
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -153,7 +153,7 @@
 	platform.Routes(routes, daemon.Documents{Daemon: n.daemon}, &n.documents)
 	operations := &httpapi.Operations{
 		Control: n.daemon, Router: n.daemon.Loop, Clock: daemon.Clock,
-		Extra: func() map[string]uint64 { return merged(transportCounters(n.daemon), n.proxy.Counters.Map()) },
+		Extra: func() map[string]uint64 { return merged(daemonCounters(n.daemon), n.proxy.Counters.Map()) },
 	}
 	operations.Watch(routes)
 	return routes
--- a/control/errors.go
+++ b/control/errors.go
@@ -24,6 +24,13 @@
 	return fmt.Sprintf("this process stood still for %s and takes no order that may have come before; nothing was changed", e.Gap)
 }
 
+// CallerLeftError says that the caller of an order closed its connection before the order was begun. It has had no effect.
+type CallerLeftError struct{}
+
+func (*CallerLeftError) Error() string {
+	return "the caller closed its connection before the order was begun; nothing was changed"
+}
+
 // Unwrap gives the cause.
 func (e *NameError) Unwrap() error { return e.Cause }
 
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -43,11 +43,19 @@
 	Deadline time.Duration
 }
 
+// Cancel says that the caller of a Command has left. An order that was not proposed to voters by now never is; the Command is answered all
+// the same. Other operations run on.
+type Cancel struct {
+	// ID is the Command's.
+	ID uint64
+}
+
 func (Received) in()  {}
 func (Tick) in()      {}
 func (Persisted) in() {}
 func (Probed) in()    {}
 func (Command) in()   {}
+func (Cancel) in()    {}
 
 // Op is the operation that a Command asks for.
 type Op interface{ op() }
--- a/control/node.go
+++ b/control/node.go
@@ -138,6 +138,8 @@
 		n.onListRead(now, i)
 	case Command:
 		n.command(now, i)
+	case Cancel:
+		n.cancel(now, i)
 	case Prefills:
 		n.tellPrefills(i)
 	case Tick:
--- a/control/operations.go
+++ b/control/operations.go
@@ -12,6 +12,8 @@
 type pendingOp struct {
 	since time.Duration
 	done  completion
+	// command is the ID of the Command that it carries out, 0 for the node's own operations.
+	command uint64
 }
 
 // operations are the proposer's operations that this node waits for, by number.
@@ -24,13 +26,26 @@
 
 func newOperations() operations { return operations{pending: map[uint64]pendingOp{}} }
 
-// add numbers an operation.
-func (o *operations) add(now time.Duration, done completion) uint64 {
+// add numbers an operation of the node's own.
+func (o *operations) add(now time.Duration, done completion) uint64 { return o.addFor(now, 0, done) }
+
+// addFor numbers an operation that carries out a command.
+func (o *operations) addFor(now time.Duration, command uint64, done completion) uint64 {
 	o.seq++
-	o.pending[o.seq] = pendingOp{since: now, done: done}
+	o.pending[o.seq] = pendingOp{since: now, done: done, command: command}
 	return o.seq
 }
 
+// of gives the operation under way that carries out a command.
+func (o *operations) of(command uint64) (uint64, bool) {
+	for id, op := range o.pending {
+		if op.command == command && command != 0 {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
 func (o *operations) take(id uint64) pendingOp {
 	op := o.pending[id]
 	delete(o.pending, id)
--- a/control/orders.go
+++ b/control/orders.go
@@ -24,12 +24,19 @@
 
 // order proposes an operator's order, to be offered before its deadline or not at all; the proposer ends what comes too late.
 func (n *Node) order(now time.Duration, c Command, change register.Change, done completion) {
-	n.propose(now, orderUntil(now, c)-now, change, done)
+	n.proposer.Submit(now, orderUntil(now, c), n.operations.addFor(now, c.ID, done), change)
 }
 
 // fencedOrder is order for a change that keeps a fence.
 func (n *Node) fencedOrder(now time.Duration, c Command, change register.FencedChange, done completion) {
-	n.proposer.SubmitFenced(now, orderUntil(now, c), n.operations.add(now, done), change)
+	n.proposer.SubmitFenced(now, orderUntil(now, c), n.operations.addFor(now, c.ID, done), change)
+}
+
+// cancel ends an order whose caller has left.
+func (n *Node) cancel(now time.Duration, c Cancel) {
+	if id, ok := n.operations.of(c.ID); ok {
+		n.proposer.Cancel(now, id)
+	}
 }
 
 func orderUntil(now time.Duration, c Command) time.Duration {
--- a/control/orders_test.go
+++ b/control/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"testing"
@@ -11,6 +12,9 @@
 	"github.com/mallowbridge/mallowbridge/register"
 )
 
+// cancelSeeds is how many seeds the test of orders whose callers left plays.
+const cancelSeeds = 20
+
 // onBase is an order that replaces the document of the revision base, as an operator's call does.
 func onBase(base, revision int) Edit {
 	body := strconv.Itoa(revision)
@@ -113,3 +117,34 @@
 		}
 	}
 }
+
+// TestOrderOfCallerThatLeftDoesNotUndoLaterOne guards against EVAC: an order to restore a zone waits at a node that is cut off from the
+// voters, its caller leaves, a later evacuation is acknowledged elsewhere, and the order is executed when the voters are back, before its
+// deadline.
+func TestOrderOfCallerThatLeftDoesNotUndoLaterOne(t *testing.T) {
+	for seed := range uint64(cancelSeeds) {
+		rng := rand.New(rand.NewPCG(seed, 33))
+		l := newSizedLab(t, fleetShape{nodes: 6, zones: 3, disks: 4, tolerate: 1}, seed)
+		l.run(2 * time.Second)
+		if a := l.call("n4", Evacuate{ID: "first", Zone: "z"}); a.Err != nil {
+			t.Fatal(a.Err)
+		}
+		apart := true
+		l.cut = func(from, to string) bool { return apart && (from == "n5" || to == "n5") }
+		l.step("n5", Command{ID: 900, Op: Evacuate{ID: "old", Zone: "z", Restore: true}})
+		l.run(time.Duration(rng.IntN(100)) * time.Millisecond)
+		l.step("n5", Cancel{ID: 900})
+		if _, answered := l.answers[900]; !answered {
+			t.Errorf("seed %d: the order goes on after its caller left", seed)
+		}
+		if a := l.call("n4", Evacuate{ID: "new", Zone: "z"}); a.Err != nil {
+			t.Fatal(a.Err)
+		}
+		l.run(time.Duration(rng.IntN(100)) * time.Millisecond)
+		apart = false
+		l.run(3 * time.Second)
+		if a := l.call("n4", Get{}); !slices.Contains(a.Value.EvacuatedZones, "z") {
+			t.Errorf("seed %d: an order whose caller had left undid a later one", seed)
+		}
+	}
+}
--- a/daemon/call.go
+++ b/daemon/call.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/control"
@@ -12,10 +13,14 @@
 
 // A call runs an operation, or a look, at the owner of control state. A deadline of 0 leaves the bound to the operation.
 type call struct {
+	// id is the Command's.
+	id       uint64
 	op       control.Op
 	deadline time.Duration
-	look     func(n *control.Node)
-	reply    chan control.Answer
+	// cancelled says that the caller of the call of this id has left.
+	cancelled bool
+	look      func(n *control.Node)
+	reply     chan control.Answer
 }
 
 // StoppingError says that the process ends. What was under way may have had its effect.
@@ -30,39 +35,75 @@
 	}
 }
 
-// Call runs an operation and waits for its answer.
+// Call runs an operation of this process's own and waits for its answer.
 func (h *Daemon) Call(op control.Op) control.Answer {
-	return h.call(call{op: op, reply: make(chan control.Answer, 1)}, nil)
+	return h.call(context.Background(), h.newCall(op, 0), nil)
 }
 
 // CallBy runs an operation that has no effect after the deadline, on Clock, and answers soon after it at the latest, also where the
-// owner of control state is stuck.
-func (h *Daemon) CallBy(deadline time.Duration, op control.Op) control.Answer {
+// owner of control state is stuck. An order is not begun once ctx is done.
+func (h *Daemon) CallBy(ctx context.Context, deadline time.Duration, op control.Op) control.Answer {
 	overdue := time.NewTimer(deadline + answerSlack - Clock())
 	defer overdue.Stop()
-	return h.call(call{op: op, deadline: deadline, reply: make(chan control.Answer, 1)}, overdue.C)
+	return h.call(ctx, h.newCall(op, deadline), overdue.C)
+}
+
+// Order runs an operator's order that came with the request of ctx, within the operation's own bound. It has no effect where the request
+// may have lain here while the process stood still, nor where its caller has left.
+func (h *Daemon) Order(ctx context.Context, op control.Op) control.Answer {
+	_, err := h.Gate.Admit(ctx, 0)
+	if err == nil {
+		err = h.confirmCaller(ctx, op)
+	}
+	if err != nil {
+		return control.Answer{Err: err}
+	}
+	return h.call(ctx, h.newCall(op, 0), nil)
+}
+
+// confirmCaller fails where the caller of an order has left. Later the context tells.
+func (h *Daemon) confirmCaller(ctx context.Context, op control.Op) error {
+	err := awaitCaller(ctx, waitFor(op))
+	if err != nil {
+		h.Gate.CallersLeft.Add(1)
+	}
+	return err
 }
 
 // Look runs look at the owner of control state and waits until it is done.
 func (h *Daemon) Look(look func(n *control.Node)) {
-	h.call(call{look: look, reply: make(chan control.Answer, 1)}, nil)
+	h.call(context.Background(), call{look: look, reply: make(chan control.Answer, 1)}, nil)
 }
 
-func (h *Daemon) call(c call, overdue <-chan time.Time) control.Answer {
+func (h *Daemon) newCall(op control.Op, deadline time.Duration) call {
+	return call{id: h.calledIDs.Add(1), op: op, deadline: deadline, reply: make(chan control.Answer, 1)}
+}
+
+func (h *Daemon) call(ctx context.Context, c call, overdue <-chan time.Time) control.Answer {
 	select {
 	case h.calls <- c:
+	case <-ctx.Done():
+		return control.Answer{Err: &control.CallerLeftError{}}
 	case <-overdue:
 		return control.Answer{Err: &register.NoQuorumError{}}
 	case <-h.Tomb.Dying():
 		return control.Answer{Err: &StoppingError{}}
 	}
-	var a control.Answer
-	select {
-	case a = <-c.reply:
-		return a
-	case <-overdue:
-		return control.Answer{Err: &register.OutcomeUnknownError{}}
-	case <-h.Tomb.Dying():
-		return control.Answer{Err: &StoppingError{}}
+	left := ctx.Done()
+	var cancels chan<- call
+	for {
+		select {
+		case a := <-c.reply:
+			return a
+		case <-left:
+			left, cancels = nil, h.calls
+			h.Gate.CallersLeft.Add(1)
+		case cancels <- call{id: c.id, cancelled: true}:
+			cancels = nil
+		case <-overdue:
+			return control.Answer{Err: &register.OutcomeUnknownError{}}
+		case <-h.Tomb.Dying():
+			return control.Answer{Err: &StoppingError{}}
+		}
 	}
 }
--- a/daemon/call_test.go
+++ b/daemon/call_test.go
@@ -16,7 +16,7 @@
 	overdue := make(chan time.Time, 1)
 	overdue <- time.Time{}
 	var none *register.NoQuorumError
-	if a := h.call(call{op: control.Get{}, reply: make(chan control.Answer, 1)}, overdue); !errors.As(a.Err, &none) {
+	if a := h.call(t.Context(), call{op: control.Get{}, reply: make(chan control.Answer, 1)}, overdue); !errors.As(a.Err, &none) {
 		t.Errorf("not taken over: %v", a.Err)
 	}
 	go func() {
@@ -24,7 +24,7 @@
 		overdue <- time.Time{}
 	}()
 	var unknown *register.OutcomeUnknownError
-	if a := h.call(call{op: control.Get{}, reply: make(chan control.Answer, 1)}, overdue); !errors.As(a.Err, &unknown) {
+	if a := h.call(t.Context(), call{op: control.Get{}, reply: make(chan control.Answer, 1)}, overdue); !errors.As(a.Err, &unknown) {
 		t.Errorf("taken over, and no answer: %v", a.Err)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -32,8 +33,10 @@
 	// Gate rejects orders that lay here while the process stood still.
 	Gate *Gate
 
-	in          chan control.In
-	calls       chan call
+	in    chan control.In
+	calls chan call
+	// calledIDs numbers the calls.
+	calledIDs   atomic.Uint64
 	writes      chan []control.LogWrite
 	subscribe   chan *follower
 	unsubscribe chan *follower
@@ -56,7 +59,6 @@
 	defer tick.Stop()
 	replies := map[uint64]chan control.Answer{}
 	fs := newFollowers(h)
-	id := uint64(0)
 	first := time.After(0)
 	for {
 		var in control.In
@@ -82,9 +84,12 @@
 				c.reply <- control.Answer{}
 				continue
 			}
-			id++
-			replies[id] = c.reply
-			in = control.Command{ID: id, Op: c.op, Deadline: c.deadline}
+			if c.cancelled {
+				in = control.Cancel{ID: c.id}
+				break
+			}
+			replies[c.id] = c.reply
+			in = control.Command{ID: c.id, Op: c.op, Deadline: c.deadline}
 		}
 		out := h.node.Step(Clock(), in)
 		h.perform(out, fs)
--- a/daemon/document.go
+++ b/daemon/document.go
@@ -13,11 +13,7 @@
 
 // Edit changes the document of the revision base; size is the length of the order's body. See control.Edit.
 func (d Documents) Edit(ctx context.Context, id string, base uint64, size int, edit func(cur []byte) ([]byte, error)) ([]byte, error) {
-	deadline, err := d.Daemon.Gate.Admit(ctx, size)
-	if err != nil {
-		return nil, err
-	}
-	a := d.Daemon.CallBy(deadline, control.Edit{ID: id, Base: base, Apply: edit})
+	a := d.order(ctx, size, control.Edit{ID: id, Base: base, Apply: edit})
 	if a.Err != nil {
 		return nil, a.Err
 	}
@@ -25,8 +21,8 @@
 }
 
 // Get reads the document from a majority: what this node knows by itself may be old.
-func (d Documents) Get(context.Context) ([]byte, error) {
-	a := d.Daemon.CallBy(d.Daemon.Gate.Read(), control.Get{})
+func (d Documents) Get(ctx context.Context) ([]byte, error) {
+	a := d.Daemon.CallBy(ctx, d.Daemon.Gate.Read(), control.Get{})
 	if a.Err != nil {
 		return nil, a.Err
 	}
@@ -44,11 +40,21 @@
 }
 
 func (d Documents) changeZone(ctx context.Context, op control.Evacuate) error {
-	deadline, err := d.Daemon.Gate.Admit(ctx, 0)
+	a := d.order(ctx, 0, op)
+	d.Daemon.Log.Info().Str("zone", op.Zone).Bool("restore", op.Restore).Uint64("version", a.Version).Err(a.Err).Msg("evacuation")
+	return a.Err
+}
+
+// order runs an order with a body of size bytes, which came with the request of ctx.
+func (d Documents) order(ctx context.Context, size int, op control.Op) control.Answer {
+	deadline, err := d.Daemon.Gate.Admit(ctx, size)
+	if err == nil {
+		err = d.Daemon.confirmCaller(ctx, op)
+	}
 	if err != nil {
-		return err
+		return control.Answer{Err: err}
 	}
-	return d.Daemon.CallBy(deadline, op).Err
+	return d.Daemon.CallBy(ctx, deadline, op)
 }
 
 // OnSnapshot has see called with each snapshot that comes into force, by the owner of control state: it must not wait.
--- a/daemon/gate.go
+++ b/daemon/gate.go
@@ -25,6 +25,8 @@
 	ran   atomic.Int64
 	woke  atomic.Int64
 	gap   atomic.Int64
+	// Stale counts orders that were denied because the process stood still, CallersLeft those whose callers had left.
+	Stale, CallersLeft atomic.Uint64
 }
 
 // NewGate makes a gate that goes by the clock.
@@ -50,11 +52,9 @@
 	return now
 }
 
-type acceptedAtKey struct{}
-
-// ConnContext notes when a connection was accepted, for http.Server.
-func (g *Gate) ConnContext(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, acceptedAtKey{}, g.look())
+// ConnContext notes a connection and when it was accepted, for http.Server.
+func (g *Gate) ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerKey{}, newCaller(conn, g.look()))
 }
 
 // Read is the deadline of a read that comes now.
@@ -64,9 +64,10 @@
 // or waiting to be accepted, while the process stood still is denied: when it was sent can't be known.
 func (g *Gate) Admit(ctx context.Context, size int) (time.Duration, error) {
 	now := g.look()
-	opened, known := ctx.Value(acceptedAtKey{}).(time.Duration)
+	from := callerOf(ctx)
 	woke := time.Duration(g.woke.Load())
-	if known && woke > 0 && opened < woke+gateQuiet {
+	if from != nil && woke > 0 && from.acceptedAt < woke+gateQuiet {
+		g.Stale.Add(1)
 		return 0, &control.StaleCallError{Gap: time.Duration(g.gap.Load())}
 	}
 	return control.Deadline(now, size), nil
--- a/httpapi/operations.go
+++ b/httpapi/operations.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -16,10 +17,11 @@
 	"github.com/mallowbridge/mallowbridge/router"
 )
 
-// Control is the node's control side: the daemon. Call gives an operation and waits for its answer; Look calls look in the goroutine that
-// owns the control state.
+// Control is the node's control side: the daemon. Call runs a read and waits for its answer, Order an operator's order that came with the
+// request of ctx; Look calls look in the goroutine that owns the control state.
 type Control interface {
 	Call(op control.Op) control.Answer
+	Order(ctx context.Context, op control.Op) control.Answer
 	Look(look func(n *control.Node))
 }
 
@@ -89,6 +91,8 @@
 	var fenced *register.FencedError
 	var unreached *register.NoQuorumError
 	var unfounded *register.NotBootstrappedError
+	var stale *control.StaleCallError
+	var left *control.CallerLeftError
 	var name *control.NameError
 	var long *http.MaxBytesError
 	t := Failure{Error: err.Error(), Effect: "unchanged"}
@@ -100,7 +104,7 @@
 		status, t.Version = http.StatusConflict, &conflict.Version
 	case errors.As(err, &unknown), errors.As(err, &forgotten):
 		status, t.Effect = http.StatusGatewayTimeout, "unknown"
-	case errors.As(err, &unreached), errors.As(err, &unfounded), errors.As(err, &fenced):
+	case errors.As(err, &unreached), errors.As(err, &unfounded), errors.As(err, &fenced), errors.As(err, &stale), errors.As(err, &left):
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", "2")
 	case errors.As(err, &name):
@@ -164,7 +168,7 @@
 	if _, err = config.Read(raw); err != nil {
 		return fail(w, err)
 	}
-	return o.answer(w, o.Control.Call(control.Put{ID: id, Expect: expect, Document: raw}))
+	return o.answer(w, o.Control.Order(r.Context(), control.Put{ID: id, Expect: expect, Document: raw}))
 }
 
 // zone answers a call on one zone; kind is the order without its zone and id.
@@ -182,7 +186,7 @@
 		}
 		op := kind
 		op.ID, op.Zone = id, name
-		return o.answer(w, o.Control.Call(op))
+		return o.answer(w, o.Control.Order(r.Context(), op))
 	}
 }
 
@@ -204,7 +208,7 @@
 		if err = d.Err(); err != nil {
 			return fail(w, err)
 		}
-		return o.answer(w, o.Control.Call(op(id, names)))
+		return o.answer(w, o.Control.Order(r.Context(), op(id, names)))
 	}
 }
 
@@ -231,7 +235,7 @@
 	if err = d.Err(); err != nil {
 		return fail(w, err)
 	}
-	if a := o.Control.Call(op); a.Err != nil {
+	if a := o.Control.Order(r.Context(), op); a.Err != nil {
 		return fail(w, a.Err)
 	}
 	return reply(w, http.StatusOK, takenAnswer{Taken: strconv.Itoa(len(op.Rows))})
--- a/register/cluster_test.go
+++ b/register/cluster_test.go
@@ -157,7 +157,7 @@
 	c.ids++
 	begun, id := c.now, c.ids
 	c.done[id] = func(r Result) { done(r, c.now-begun) }
-	change := raise(fmt.Sprint(id))
+	change := raise(orderName(id))
 	if urgent {
 		p.SubmitUrgent(c.now, c.now+within, id, change)
 	} else {
@@ -166,6 +166,9 @@
 	c.carry(p)
 }
 
+// orderName is the id under which a submitted change is logged.
+func orderName(id uint64) string { return fmt.Sprint(id) }
+
 // raise is a change that any value bears.
 func raise(text string) Change {
 	return func(cur *Value) (*Value, error) {
--- a/register/submit.go
+++ b/register/submit.go
@@ -21,6 +21,23 @@
 	p.next(now)
 }
 
+// Cancel ends an operation whose caller has left, as its deadline would: what was not proposed to voters by now never is.
+func (p *Proposer) Cancel(now time.Duration, id uint64) {
+	for _, o := range p.queue {
+		o.cancel(now, id)
+	}
+	if p.current != nil {
+		p.current.cancel(now, id)
+	}
+	p.Tick(now)
+}
+
+func (o *operation) cancel(now time.Duration, id uint64) {
+	if o.id == id {
+		o.deadline = min(o.deadline, now)
+	}
+}
+
 // Bootstrap queues the bootstrap of the register with its first value; all voters named there must answer.
 func (p *Proposer) Bootstrap(now, deadline time.Duration, id uint64, first *Value) {
 	change := func(_ *Value) (*Value, error) { return first, nil }
