Node: SIGHUP that comes while a node starts waits, instead of ending the process

Cause: the signals were subscribed to after the listeners and the daemon had started; until then SIGHUP has its default action, which ends the process.

Change: SIGHUP is subscribed to before the settings are read, and taken up once the node runs. Other signals end a node that starts, as before.

Evidence: script signals.txtar fails on (the process is gone) and passes now.

--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -31,14 +33,20 @@
 	way := c.Flag("placement", "How replicas are chosen: index; blind (by load, the index off) and round-robin are for comparisons.").
 		Default(byIndex).Enum(byIndex, blind, roundRobin)
 	cmds["node"] = func(_ io.Reader, _ io.Writer) error {
+		// SIGHUP would end the process; one that comes while the node starts waits here. Other signals end a node that starts, as they should.
+		signals := make(chan os.Signal, pendingSignals)
+		signal.Notify(signals, syscall.SIGHUP)
 		s, err := platform.ReadSettings(*file)
 		if err != nil {
 			return err
 		}
-		return runNode(*file, s, *way)
+		return runNode(*file, s, *way, signals)
 	}
 }
 
+// pendingSignals is how many signals may wait while the node starts.
+const pendingSignals = 4
+
 const (
 	listEvery = time.Second
 	// staleCap bounds how long a predicted holding may be trusted.
@@ -105,7 +113,7 @@
 	retired atomic.Bool
 }
 
-func runNode(file string, s platform.Settings, way string) error {
+func runNode(file string, s platform.Settings, way string, signals chan os.Signal) error {
 	if mb := s.Machine.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(mb) << 20 * 7 / 10)
 	}
@@ -126,7 +134,7 @@
 	n.proxy = proxy.New(n.daemon.Loop, headers(), proxySettings(s), n.limitsNow, n.daemon.FrontendID)
 	n.serve(listeners)
 	lg.Info().Str("zone", s.Zone).Bool("first", s.FirstStart).Msg("started")
-	return n.supervise(file)
+	return n.supervise(file, signals)
 }
 
 func (n *platformNode) limitsNow() config.Limits { return *n.limits.Load() }
--- a/cmd/mallowbridge/supervise.go
+++ b/cmd/mallowbridge/supervise.go
@@ -14,9 +14,8 @@
 )
 
 // supervise takes signals until the node ends: SIGHUP reads the settings file again, others drain the node.
-func (n *platformNode) supervise(file string) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+func (n *platformNode) supervise(file string, signals chan os.Signal) error {
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	for {
 		select {
 		case <-n.tomb.Dying():
