Soak: real processes whose faults and changes overlap, judged for ten rules

mallowbridge soak (scripts/fleet soak SEED DURATION NODES) runs nodes as processes. Clients keep using their connections until the process is gone; nodes are killed, told to end, frozen and reloaded in series, several groups at once, with rests between; replicas break off and crash; route types flip in series; zones are evacuated and taken back, with orders that a partition holds up for up to seven seconds and callers that leave early. Judged: requests altered on the way, run twice, rejected and run, streams, requests in an evacuated zone, answers lost at a shutdown, configurations that go back, recovery after the faults.

A first try found nodes that SIGHUP ended while they started.

Rehearsals refuse a folder that holds an earlier run. quotas and soak share strikers, kept connections and the operators; replicas keep their zone; a series of faults ends with the rehearsal.

--- a/cmd/mallowbridge/main.go
+++ b/cmd/mallowbridge/main.go
@@ -34,6 +34,7 @@
 	standIns(app, cmds)
 	streams(app, cmds)
 	quotas(app, cmds)
+	soak(app, cmds)
 	tools(app, cmds)
 	whatIf(app, cmds)
 	recovery(app, cmds)
--- a/cmd/mallowbridge/rehearsalfolder.go
+++ b/cmd/mallowbridge/rehearsalfolder.go
@@ -16,6 +16,11 @@
 	ledger      io.Writer
 }
 
+// UsedFolderError says that a folder holds the files of an earlier rehearsal, whose disks would tell of another fleet.
+type UsedFolderError struct{ Ledger string }
+
+func (e *UsedFolderError) Error() string { return e.Ledger + " is there from an earlier run" }
+
 // openFolder makes the folder where there is none.
 func openFolder(dir, ledger string) (rehearsalFolder, error) {
 	var f rehearsalFolder
@@ -26,6 +31,9 @@
 	if err = os.MkdirAll(f.dir, 0o755); err != nil {
 		return f, trace.ConvertSystemError(err)
 	}
+	if _, err = os.Stat(filepath.Join(f.dir, ledger)); err == nil {
+		return f, trace.Wrap(&UsedFolderError{Ledger: filepath.Join(f.dir, ledger)})
+	}
 	if f.binary, err = os.Executable(); err != nil {
 		return f, trace.Wrap(err)
 	}
--- a/ledger/check.go
+++ b/ledger/check.go
@@ -44,6 +44,14 @@
 	Reused = "one id for two gos"
 	// OverQuota: a tenant's requests that ran within a window cost more than its limit allows.
 	OverQuota = "over quota"
+	// Altered: a replica ran a request with another path, query or body than the client's.
+	Altered = "request altered"
+	// InEvacuatedZone: a request reached a zone long after its evacuation was acknowledged.
+	InEvacuatedZone = "request in an evacuated zone"
+	// LostAnswer: a process that was told to end took a request, passed it on and gave no whole answer.
+	LostAnswer = "answer lost at a shutdown"
+	// NotRecovered: long after the last fault most requests are not served.
+	NotRecovered = "not recovered"
 )
 
 // runs are all runs of one request.
--- a/standin/rehearsal/configuration.go
+++ b/standin/rehearsal/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"strings"
 )
 
 // host is the name under which clients ask.
@@ -20,11 +21,20 @@
 "priority":` + priority + `,"targetService":"` + service + `","maxAttempts":3,"sessionAffinity":true,"streamResume":` + resumes + `,"targetGapMs":400}`
 }
 
+// usualRoutes are those of all documents.
+func usualRoutes() []string {
+	return []string{
+		route("streams", resumablePath, "streaming", "0", "true"), route("once", oncePath, "streaming", "1", "false"), route("plain", plainPath, "safe", "2", "false"),
+	}
+}
+
 // configuration is the document of a revision with tenants, if any; the rest is the same in all.
 func configuration(revision uint64, tenants []tenantDocument) string {
-	routes := route("streams", resumablePath, "streaming", "0", "true") + "," + route("once", oncePath, "streaming", "1", "false") + "," +
-		route("plain", plainPath, "safe", "2", "false")
-	return `{"revision":` + strconv.FormatUint(revision, 10) + tenantsField(tenants) + `,"routes":[` + routes + `],
+	return document(revision, tenants, usualRoutes())
+}
+
+func document(revision uint64, tenants []tenantDocument, routes []string) string {
+	return `{"revision":` + strconv.FormatUint(revision, 10) + tenantsField(tenants) + `,"routes":[` + strings.Join(routes, ",") + `],
 "services":[{"name":"` + service + `","healthCheckPath":"/health","maxConnections":400,"protocol":"h1","tlsEnabled":false,"warmupS":0.0,"warmupPerS":0.0,
 "engine":{"capacitySlots":64,"kvCacheTokens":729140,"kvTokenBytes":18432,"linkMbps":370000.0,"stride":6,"models":[{"name":"m"}]}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
--- a/standin/rehearsal/fleet.go
+++ b/standin/rehearsal/fleet.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"github.com/mallowbridge/mallowbridge/ledger"
 )
 
 // votingNodes have a disk; one of them may be lost.
@@ -22,10 +24,17 @@
 	name, ip, settings string
 	voter              bool
 	process            *exec.Cmd
+	startedAt          time.Time
 	// exited is closed once the process has ended.
 	exited chan struct{}
+	// faults are those that are over, failing the one that is not: the process was told to end, or killed. Whoever has the node fail owns both.
+	faults  []ledger.NodeFault
+	failing *ledger.NodeFault
 }
 
+// front is the address that takes clients.
+func (n *node) front() string { return fmt.Sprintf("%s:%d", n.ip, frontPort) }
+
 // Fleet runs nodes as processes of their own.
 type Fleet struct {
 	dir    string
@@ -61,7 +70,7 @@
 func (f *Fleet) Fronts() []string {
 	var all []string
 	for _, n := range f.nodes {
-		all = append(all, fmt.Sprintf("%s:%d", n.ip, frontPort))
+		all = append(all, n.front())
 	}
 	return all
 }
@@ -81,6 +90,8 @@
 	if err := n.process.Start(); err != nil {
 		return err
 	}
+	n.recover()
+	n.startedAt = time.Now()
 	process, exited := n.process, make(chan struct{})
 	n.exited = exited
 	go func() {
@@ -115,29 +126,6 @@
 	return f.AwaitReady(startTime)
 }
 
-// Signal sends a signal to a node and waits until it has ended; one that outlives the grace period is killed.
-func (f *Fleet) Signal(i int, sig syscall.Signal) {
-	n := f.nodes[i]
-	_ = n.process.Process.Signal(sig)
-	select {
-	case <-n.exited:
-	case <-time.After(gracePeriod):
-		_ = n.process.Process.Kill()
-		<-n.exited
-	}
-}
-
-// Reload sends SIGHUP to a node.
-func (f *Fleet) Reload(i int) { _ = f.nodes[i].process.Process.Signal(syscall.SIGHUP) }
-
-// Freeze has a node stand still for a while.
-func (f *Fleet) Freeze(i int, d time.Duration) {
-	process := f.nodes[i].process.Process
-	_ = process.Signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	_ = process.Signal(syscall.SIGCONT)
-}
-
 // Stop ends all nodes that run.
 func (f *Fleet) Stop() {
 	for i, n := range f.nodes {
--- a/standin/rehearsal/operator.go
+++ b/standin/rehearsal/operator.go
@@ -15,8 +15,12 @@
 	"github.com/mallowbridge/mallowbridge/ledger"
 )
 
-// callTime bounds one call of an operator.
-const callTime = 2 * time.Second
+const (
+	// callTime bounds one call of an operator.
+	callTime = 2 * time.Second
+	// putPause bounds the pause between two tries of one call.
+	putPause = 60 * time.Millisecond
+)
 
 // operators change the configuration and read it, at any node.
 type operators struct {
@@ -26,8 +30,27 @@
 	acknowledged atomic.Uint64
 	breaches     chan ledger.Breach
 	reads        atomic.Uint64
+	// changes are what is put.
+	changes changes
+}
+
+// changes are the documents that operators put, one after the other.
+type changes interface {
+	// next gives the document of a revision, and how long to wait before it is put.
+	next(revision uint64) (string, time.Duration)
+	// taken hears that the revision was acknowledged.
+	taken(revision uint64)
 }
 
+// sameRoutes changes nothing but the revision.
+type sameRoutes struct{ rng *rand.Rand }
+
+func (s sameRoutes) next(revision uint64) (string, time.Duration) {
+	return configuration(revision, nil), time.Duration(s.rng.IntN(60)) * time.Millisecond
+}
+
+func (sameRoutes) taken(uint64) {}
+
 // readers is how many operators read at once.
 const readers = 3
 
@@ -45,18 +68,31 @@
 // write puts one revision after the other; a call without a clear answer is sent again as it was, to another node.
 func (o *operators) write(end time.Time) {
 	rng := rand.New(rand.NewPCG(o.seed, operatorCalls))
-	for revision := o.acknowledged.Load() + 1; time.Now().Before(end); {
-		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
-		status, said := put(o.controls[rng.IntN(len(o.controls))], revision, configuration(revision, nil))
+	for revision := o.acknowledged.Load() + 1; time.Now().Before(end); revision++ {
+		document, pause := o.changes.next(revision)
+		time.Sleep(pause)
+		if !o.put(rng, end, revision, document) {
+			return
+		}
+		o.acknowledged.Store(revision)
+		o.changes.taken(revision)
+	}
+}
+
+// put sends a document until it is taken; false where it is refused, or the end has come.
+func (o *operators) put(rng *rand.Rand, end time.Time, revision uint64, document string) bool {
+	for time.Now().Before(end) {
+		status, said := put(o.controls[rng.IntN(len(o.controls))], revision, document)
 		switch status {
 		case http.StatusOK:
-			o.acknowledged.Store(revision)
-			revision++
+			return true
 		case http.StatusPreconditionFailed, http.StatusBadRequest:
 			o.breaches <- ledger.Breach{What: ledger.RefusedOrder, Request: strconv.FormatUint(revision, 10), Detail: said}
-			return
+			return false
 		}
+		time.Sleep(time.Duration(rng.IntN(int(putPause))))
 	}
+	return false
 }
 
 // read holds each answer against what was acknowledged, and what was read, before it was asked for.
--- a/standin/rehearsal/operator_test.go
+++ b/standin/rehearsal/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -48,7 +49,7 @@
 			f.revision.Store(1)
 			control := httptest.NewServer(f)
 			defer control.Close()
-			o := &operators{controls: []string{strings.TrimPrefix(control.URL, "http://")}, seed: 1, breaches: make(chan ledger.Breach, maxBreaches)}
+			o := &operators{controls: []string{strings.TrimPrefix(control.URL, "http://")}, seed: 1, breaches: make(chan ledger.Breach, maxBreaches), changes: sameRoutes{rng: rand.New(rand.NewPCG(1, 1))}}
 			o.acknowledged.Store(1)
 			o.run(time.Now().Add(300 * time.Millisecond))
 			var found string
--- a/standin/rehearsal/platform.go
+++ b/standin/rehearsal/platform.go
@@ -23,7 +23,7 @@
 	Addr   string
 	faults Faults
 	seed   uint64
-	ran    func(q *http.Request)
+	ran    func(run ReplicaRun)
 	server *http.Server
 	owner  chan *replicas
 }
@@ -32,7 +32,7 @@
 const drainTime = 1500 * time.Millisecond
 
 // StartPlatform starts n replicas and serves their list until Stop; ran, if any, sees each request that a replica begins to run.
-func StartPlatform(n int, seed uint64, faults Faults, ran func(q *http.Request)) (*Platform, error) {
+func StartPlatform(n int, seed uint64, faults Faults, ran func(run ReplicaRun)) (*Platform, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -68,6 +68,7 @@
 	if err != nil {
 		return err
 	}
+	r.zone = zoneOf(state.started)
 	state.all = append(state.all, r)
 	return nil
 }
@@ -136,9 +137,9 @@
 func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
 	state := <-p.owner
 	rows := []listed{}
-	for i, r := range state.all {
+	for _, r := range state.all {
 		rows = append(rows, listed{
-			InstanceID: r.Instance, TargetService: service, Address: r.Addr, Zone: zoneOf(i), Revision: "v1", CapacitySlots: slots,
+			InstanceID: r.Instance, TargetService: service, Address: r.Addr, Zone: r.zone, Revision: "v1", CapacitySlots: slots,
 			LifecycleState: r.state(), Models: []model{{Name: "m", Revision: r.Weights}},
 		})
 	}
--- a/standin/rehearsal/quota.go
+++ b/standin/rehearsal/quota.go
@@ -1,6 +1,7 @@
 package rehearsal
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -54,7 +55,8 @@
 }
 
 // sawRun notes a request that a replica begins to run, by this process's clock.
-func (r *quotaRehearsal) sawRun(q *http.Request) {
+func (r *quotaRehearsal) sawRun(run ReplicaRun) {
+	q := run.Request
 	prompt, most := platform.ParseTokens(q.Header.Get(platform.HeaderTokens))
 	r.runs <- ledger.QuotaRun{AtMs: time.Now().UnixMilli(), Tenant: q.Header.Get(platform.HeaderTenant), Cost: float64(prompt + most)}
 }
@@ -63,28 +65,23 @@
 func (r *quotaRehearsal) play() ([]ledger.QuotaLimit, error) {
 	end := time.Now().Add(r.For)
 	operator := newQuotaOperator(r.fleet.Controls(), r.Seed)
-	strikers := r.strikers()
-	failed := make(chan error, len(strikers))
+	var failing []*striker
+	if !r.Calm {
+		failing = strikers(r.fleet, r.platform, r.stream)
+	}
+	var failed error
 	var all sync.WaitGroup
 	all.Go(func() { operator.run(end, r.Unchanged) })
 	all.Go(func() { r.clients(end) })
-	for _, s := range strikers {
-		all.Go(func() { failed <- s.run(end) })
-	}
+	all.Go(func() { r.report.FaultCounts, failed = strikeAll(failing, end) })
 	done := make(chan struct{})
 	go func() {
 		all.Wait()
 		close(done)
 	}()
 	err := r.collect(done)
-	for _, s := range strikers {
-		r.report.add(s.report)
-		if e := <-failed; err == nil {
-			err = e
-		}
-	}
 	r.report.Revisions = operator.acknowledged
-	return operator.limits, err
+	return operator.limits, cmp.Or(err, failed)
 }
 
 // collect counts runs and answers until everybody is done.
@@ -140,14 +137,5 @@
 	r.report.Breaches = ledger.CheckQuotas(r.report.Windows)
 }
 
-// add takes in what one striker counted.
-func (q *QuotaReport) add(o QuotaReport) {
-	q.Kills += o.Kills
-	q.Stops += o.Stops
-	q.Freezes += o.Freezes
-	q.Reloads += o.Reloads
-	q.Crashes += o.Crashes
-}
-
 // stream gives each part of a rehearsal random numbers of its own.
 func (r *quotaRehearsal) stream(n uint64) *rand.Rand { return rand.New(rand.NewPCG(r.Seed, n)) }
--- a/standin/rehearsal/quotaclient.go
+++ b/standin/rehearsal/quotaclient.go
@@ -1,11 +1,9 @@
 package rehearsal
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -45,7 +43,7 @@
 	requests := make(chan quotaRequest)
 	var all sync.WaitGroup
 	for n := range r.Clients {
-		c := &quotaClient{fronts: r.fleet.Fronts(), rng: r.stream(uint64(n)), name: fmt.Sprintf("q%d", n)}
+		c := &quotaClient{keptConnection: keptConnection{fronts: r.fleet.Fronts(), rng: r.stream(uint64(n))}, name: fmt.Sprintf("q%d", n)}
 		all.Go(func() {
 			for q := range requests {
 				r.answers <- quotaAnswer{status: c.ask(q), usual: q.usual}
@@ -120,14 +118,11 @@
 	return all
 }
 
-// quotaClient keeps its connection until it breaks, whatever the answers say of it.
+// quotaClient asks on a connection that it keeps.
 type quotaClient struct {
-	name   string
-	fronts []string
-	rng    *rand.Rand
-	conn   net.Conn
-	in     *bufio.Reader
-	sent   int
+	keptConnection
+	name string
+	sent int
 }
 
 // ask sends a request once, on a new connection where the kept one broke, and gives the status of its answer.
@@ -168,19 +163,3 @@
 		time.Sleep(min(time.Duration(seconds*float64(time.Second)), longestBackoff))
 	}
 }
-
-func (c *quotaClient) connect() bool {
-	conn, err := net.DialTimeout("tcp", c.fronts[c.rng.IntN(len(c.fronts))], time.Second)
-	if err != nil {
-		return false
-	}
-	c.conn, c.in = conn, bufio.NewReader(conn)
-	return true
-}
-
-func (c *quotaClient) disconnect() {
-	if c.conn != nil {
-		_ = c.conn.Close()
-	}
-	c.conn = nil
-}
--- a/standin/rehearsal/quotaoptions.go
+++ b/standin/rehearsal/quotaoptions.go
@@ -30,8 +30,9 @@
 	// Asked are requests that clients sent, Ran those that a replica began to run, OverQuota those answered 429, Unauthorized
 	// those answered 401 since a change left their tenant out, Unanswered the others without a 200.
 	Asked, Ran, OverQuota, Unauthorized, Unanswered int
-	// Kills, Stops, Freezes, Reloads and Crashes count the faults of nodes and of replicas, Revisions the changes acknowledged.
-	Kills, Stops, Freezes, Reloads, Crashes, Revisions int
+	// FaultCounts are the faults of nodes and of replicas, Revisions the changes acknowledged.
+	FaultCounts
+	Revisions int
 	// Races are the reports of the race detector in the nodes' logs.
 	Races int
 	// UsualRefused is the part of requests answered 429 of those that were sent a window or more after their tenant last asked for too much.
--- a/standin/rehearsal/replica.go
+++ b/standin/rehearsal/replica.go
@@ -19,47 +19,6 @@
 // headerRequest names a request over all its tries; nodes pass it on like any header that they don't know.
 const headerRequest = "X-Rehearsal-Request"
 
-// Faults are how often a replica does something wrong with a stream, each between 0 and 1; their sum is at most 1.
-type Faults struct {
-	// Refuse: 503, not run. Vanish: a reset before the head.
-	Refuse, Vanish float64
-	// CutFIN and CutReset end the connection after any byte of the answer. CutFramed ends the answer with proper framing inside an event.
-	CutFIN, CutReset, CutFramed float64
-	// Surplus: the answer comes twice on its connection.
-	Surplus float64
-}
-
-// DefaultFaults spoil somewhat less than half of the answers.
-func DefaultFaults() Faults {
-	return Faults{Refuse: 0.06, Vanish: 0.04, CutFIN: 0.1, CutReset: 0.1, CutFramed: 0.08, Surplus: 0.04}
-}
-
-// fault is what happens to one answer.
-type fault uint8
-
-const (
-	sound fault = iota
-	refuse
-	vanish
-	cutFIN
-	cutReset
-	cutFramed
-	surplus
-)
-
-func (f Faults) draw(rng *rand.Rand) fault {
-	left := rng.Float64()
-	for _, one := range []struct {
-		odds float64
-		kind fault
-	}{{f.Refuse, refuse}, {f.Vanish, vanish}, {f.CutFIN, cutFIN}, {f.CutReset, cutReset}, {f.CutFramed, cutFramed}, {f.Surplus, surplus}} {
-		if left -= one.odds; left < 0 {
-			return one.kind
-		}
-	}
-	return sound
-}
-
 // Replica is one incarnation of a stand-in model replica that speaks the platform's protocol.
 type Replica struct {
 	Instance string
@@ -70,8 +29,20 @@
 	server   *http.Server
 	seed     uint64
 	served   atomic.Uint64
+	// zone is where it runs, as listed.
+	zone string
+	// stoppedAt is when it was stopped, in milliseconds since 1970; 0: it runs.
+	stoppedAt atomic.Int64
 	// ran, if any, sees each request that the replica begins to run.
-	ran func(q *http.Request)
+	ran func(run ReplicaRun)
+}
+
+// ReplicaRun is a request that a replica begins to run. Spoiled tells that the replica is going to end the answer wrongly.
+type ReplicaRun struct {
+	Replica *Replica
+	Request *http.Request
+	Body    []byte
+	Spoiled bool
 }
 
 // eventPause is the longest pause between two events.
@@ -80,7 +51,7 @@
 func pause(rng *rand.Rand) { time.Sleep(time.Duration(rng.Int64N(int64(eventPause)))) }
 
 // StartReplica serves on a free port of the loopback interface until Stop; ran, if any, sees each request that it begins to run.
-func StartReplica(instance string, weights, seed uint64, faults Faults, ran func(q *http.Request)) (*Replica, error) {
+func StartReplica(instance string, weights, seed uint64, faults Faults, ran func(run ReplicaRun)) (*Replica, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -92,7 +63,10 @@
 }
 
 // Stop ends the replica and all its connections at once.
-func (r *Replica) Stop() { _ = r.server.Close() }
+func (r *Replica) Stop() {
+	r.stoppedAt.CompareAndSwap(0, time.Now().UnixMilli())
+	_ = r.server.Close()
+}
 
 func (r *Replica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	h := w.Header()
@@ -100,7 +74,10 @@
 		h.Set(platform.HeaderInstance, r.Instance)
 		return
 	}
-	_, _ = io.Copy(io.Discard, q.Body)
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
 	h.Set(platform.HeaderAttempt, q.Header.Get(platform.HeaderAttempt))
 	if r.misdirected(q) {
 		h.Set(platform.HeaderNotExecuted, "1")
@@ -114,7 +91,7 @@
 	events := r.events(q, h.Get(platform.HeaderSeal))
 	kind := r.drawFault(rng, q)
 	if r.ran != nil && kind != refuse {
-		r.ran(q)
+		r.ran(ReplicaRun{Replica: r, Request: q, Body: body, Spoiled: kind != sound})
 	}
 	switch kind {
 	case sound:
@@ -133,9 +110,13 @@
 	}
 }
 
-// contentType is that of an event stream, but for requests of plainPath.
+// isPlain tells whether a request is for an answer that is no stream.
+func isPlain(q *http.Request) bool {
+	return strings.HasPrefix(q.URL.Path, plainPath) || strings.HasPrefix(q.URL.Path, turningPlainPath)
+}
+
 func contentType(q *http.Request) string {
-	if strings.HasPrefix(q.URL.Path, plainPath) {
+	if isPlain(q) {
 		return "text/plain"
 	}
 	return "text/event-stream"
@@ -144,7 +125,7 @@
 // drawFault draws what happens to an answer. Of one that is no stream nobody can see that it ends too early with proper framing.
 func (r *Replica) drawFault(rng *rand.Rand, q *http.Request) fault {
 	kind := r.faults.draw(rng)
-	if kind == cutFramed && strings.HasPrefix(q.URL.Path, plainPath) {
+	if kind == cutFramed && isPlain(q) {
 		return sound
 	}
 	return kind
--- a/standin/rehearsal/run.go
+++ b/standin/rehearsal/run.go
@@ -78,7 +78,8 @@
 		return r.report, err
 	}
 	end := time.Now().Add(o.For)
-	operators := &operators{controls: r.fleet.Controls(), seed: o.Seed, breaches: make(chan ledger.Breach, maxBreaches)}
+	operators := &operators{controls: r.fleet.Controls(), seed: o.Seed, breaches: make(chan ledger.Breach, maxBreaches),
+		changes: sameRoutes{rng: rand.New(rand.NewPCG(o.Seed, changePauses))}}
 	operators.acknowledged.Store(1)
 	go operators.run(end)
 	err = r.serve(end)
@@ -146,6 +147,7 @@
 const (
 	nodeFaults = 1<<32 + iota
 	replicaFaults
+	changePauses
 	operatorCalls
 )
 
--- a/standin/rehearsal/settings.go
+++ b/standin/rehearsal/settings.go
@@ -15,8 +15,11 @@
 	lastPort      = 17735
 )
 
+// zoneCount is how many zones there are.
+const zoneCount = 3
+
 // zoneOf gives the i-th node or replica its zone.
-func zoneOf(i int) string { return string(rune('a' + i%3)) }
+func zoneOf(i int) string { return string(rune('a' + i%zoneCount)) }
 
 // maxNodes is how many nodes a fleet has at most.
 const maxNodes = 252
--- a/standin/rehearsal/strikers.go
+++ b/standin/rehearsal/strikers.go
@@ -1,18 +1,21 @@
 package rehearsal
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// Streams of the seed in a rehearsal of quotas, beside those of the clients, which count from 0.
+// Streams of the seed in rehearsals of quotas and in soaks, beside those of the clients, which count from 0.
 const (
 	demandDraws = 1<<32 + iota
 	limitDraws
 	crashDraws
-	strikerDraws
+	routeDraws
+	zoneDraws
+	strikerDraws = 1 << 33
 )
 
 const (
@@ -26,22 +29,51 @@
 	// longestFreeze and longestGrace bound how long a node stands still, and is left to end after SIGTERM before it is killed.
 	longestFreeze = 2500 * time.Millisecond
 	longestGrace  = 2 * time.Second
+	// strikeTime and quietTime follow each other in turn where all strikers rest at once.
+	strikeTime = 8 * time.Second
+	quietTime  = 8 * time.Second
 	// longestStall is shorter than nodes take to count each other as gone.
 	longestStall = 1400 * time.Millisecond
 	crashPause   = 4 * time.Second
 )
 
+// FaultCounts are how often nodes were killed, told to end, frozen and reloaded, and replicas crashed.
+type FaultCounts struct{ Kills, Stops, Freezes, Reloads, Crashes int }
+
+func (c *FaultCounts) add(o FaultCounts) {
+	c.Kills += o.Kills
+	c.Stops += o.Stops
+	c.Freezes += o.Freezes
+	c.Reloads += o.Reloads
+	c.Crashes += o.Crashes
+}
+
 // A striker has some nodes, or the replicas, fail until the end.
 type striker struct {
 	rng    *rand.Rand
 	strike func() error
 	pause  time.Duration
-	report QuotaReport
+	end    time.Time
+	counts FaultCounts
+	// rests tells that all strikers rest at the same times, so that the fleet is calm for a while.
+	rests bool
+	begun time.Time
+}
+
+// over tells whether no more faults are to begin now.
+func (s *striker) over() bool { return !time.Now().Before(s.end) || s.resting() }
+
+func (s *striker) resting() bool {
+	return s.rests && time.Since(s.begun)%(strikeTime+quietTime) >= strikeTime
 }
 
 func (s *striker) run(end time.Time) error {
+	s.end, s.begun = end, time.Now()
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(s.rng.Int64N(int64(s.pause))))
+		if s.resting() {
+			continue
+		}
 		if err := s.strike(); err != nil {
 			return err
 		}
@@ -49,32 +81,54 @@
 	return nil
 }
 
-// strikers are those of the replicas and of each group of nodes; none in calm times.
-func (r *quotaRehearsal) strikers() []*striker {
-	if r.Calm {
-		return nil
-	}
-	replicas := &striker{rng: r.stream(crashDraws), pause: crashPause}
+// strikers are those of the replicas and of each group of nodes; stream gives each of them random numbers of its own.
+func strikers(f *Fleet, p *Platform, stream func(n uint64) *rand.Rand) []*striker {
+	replicas := &striker{rng: stream(crashDraws), pause: crashPause}
 	replicas.strike = func() error {
-		replicas.report.Crashes++
-		return r.platform.Crash(replicas.rng.IntN(1 << 20))
+		replicas.counts.Crashes++
+		return p.Crash(replicas.rng.IntN(1 << 20))
 	}
 	all := []*striker{replicas}
-	for first := 0; first < r.Nodes; first += nodesPerStriker {
-		s := &striker{rng: r.stream(strikerDraws + uint64(first)), pause: strikePause}
-		size := min(nodesPerStriker, r.Nodes-first)
+	for first := 0; first < len(f.nodes); first += nodesPerStriker {
+		s := &striker{rng: stream(strikerDraws + uint64(first)), pause: strikePause}
+		size := min(nodesPerStriker, len(f.nodes)-first)
 		s.strike = func() error {
 			if s.rng.IntN(2) == 0 {
-				s.stall(r.fleet, first, size)
+				s.stall(f, first, size)
 				return nil
 			}
-			return s.series(r.fleet, first+s.rng.IntN(size))
+			return s.series(f, first+s.rng.IntN(size))
 		}
 		all = append(all, s)
 	}
 	return all
 }
 
+// resting has all strikers rest at the same times.
+func resting(all []*striker) []*striker {
+	for _, s := range all {
+		s.rests = true
+	}
+	return all
+}
+
+// strikeAll has all strikers strike until the end, and counts what they did.
+func strikeAll(all []*striker, end time.Time) (FaultCounts, error) {
+	failed := make(chan error, len(all))
+	var running sync.WaitGroup
+	for _, s := range all {
+		running.Go(func() { failed <- s.run(end) })
+	}
+	running.Wait()
+	var counts FaultCounts
+	var first error
+	for _, s := range all {
+		counts.add(s.counts)
+		first = cmp.Or(first, <-failed)
+	}
+	return counts, first
+}
+
 // stall has some nodes stand still at once, each for a while of its own, as where a machine has too few cores for them.
 func (s *striker) stall(f *Fleet, first, size int) {
 	var all sync.WaitGroup
@@ -82,7 +136,7 @@
 		if s.rng.IntN(2) == 0 {
 			continue
 		}
-		s.report.Freezes++
+		s.counts.Freezes++
 		d := time.Duration(s.rng.Int64N(int64(longestStall)))
 		all.Go(func() { f.Freeze(node, d) })
 	}
@@ -96,6 +150,9 @@
 			return err
 		}
 		time.Sleep(time.Duration(s.rng.Int64N(int64(restartRange))))
+		if s.over() {
+			return nil
+		}
 	}
 	return nil
 }
@@ -103,21 +160,21 @@
 func (s *striker) fail(f *Fleet, node int) error {
 	switch s.rng.IntN(5) {
 	case 0:
-		s.report.Freezes++
+		s.counts.Freezes++
 		f.Freeze(node, time.Duration(s.rng.Int64N(int64(longestFreeze))))
 		return nil
 	case 1:
-		s.report.Reloads++
+		s.counts.Reloads++
 		f.Reload(node)
 		return nil
 	case 2:
-		s.report.Kills++
+		s.counts.Kills++
 		f.Signal(node, syscall.SIGKILL)
 	case 3:
-		s.report.Stops++
+		s.counts.Stops++
 		f.Signal(node, syscall.SIGTERM)
 	default:
-		s.report.Stops++
+		s.counts.Stops++
 		f.stopFrozen(node, time.Duration(s.rng.Int64N(int64(longestGrace))))
 	}
 	return f.Start(node)
