Proxy: a body that ends during a shutdown is passed on only if that ends in time

Cause: a request was admitted once, after its head. Change: one with a body is admitted again when that has been read; what might not end in time gets 503, not run.

--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -29,7 +29,7 @@
 		x.refuse(err)
 		return
 	}
-	if err := x.readBody(); err != nil {
+	if err := x.takeBody(); err != nil {
 		x.refuse(err)
 		return
 	}
@@ -43,6 +43,14 @@
 	x.run(a)
 }
 
+// takeBody reads the request's body. A process that was told to end meanwhile passes the request on only if that surely ends in time.
+func (x *transfer) takeBody() error {
+	if err := x.readBody(); err != nil || x.r.ContentLength == 0 {
+		return err
+	}
+	return x.proxy.shutdown.Load().admit(time.Now(), x.deadline)
+}
+
 // slowUpload is how long a body may take before the router is told that less time is left.
 const slowUpload = 100 * time.Millisecond
 
--- a/proxy/shutdown_test.go
+++ b/proxy/shutdown_test.go
@@ -77,3 +77,33 @@
 	want(t, "answer", fmt.Sprint(r.status, " ", r.body, r.header["Connection"]), "200 one[close]")
 	waitIdle(t, p)
 }
+
+// TestBodyThatEndsDuringShutdownIsPassedOnOnlyIfThatEndsInTime guards against LOST: a request whose head came before SIGTERM and whose body ends
+// after it is passed on, however long it may take, and cut when the process exits.
+func TestBodyThatEndsDuringShutdownIsPassedOnOnlyIfThatEndsInTime(t *testing.T) {
+	for _, c := range []struct {
+		name, wait, answer string
+		grace              time.Duration
+		arrivals           int
+	}{
+		{"deadline beyond the grace period", "15000", "503 [close]", 5 * time.Second, 0},
+		{"after admission ended", "1000", "503 [close]", 0, 0},
+		{"ends in time", "1000", "200 [close]", time.Minute, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			replica := newReplica(t, say("200 OK", "", "one"))
+			m := newStubRouter(deny, replica.place(unsafe))
+			p, addr := front(t, m, lingering(time.Hour), config.Limits{})
+			u := dial(t, addr)
+			u.say(t, "POST /a HTTP/1.1\r\nHost: h.example\r\nX-Attempt: id1\r\nX-Wait-Ms: "+c.wait+"\r\nContent-Length: 4\r\n\r\nbo")
+			for end := time.Now().Add(10 * time.Second); p.Running() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			}
+			p.Shutdown(c.grace)
+			u.say(t, "dy")
+			r := u.answer(t, "POST")
+			want(t, "answer", fmt.Sprint(r.status, " ", r.header["Connection"]), c.answer)
+			waitIdle(t, p)
+			want(t, "arrivals", len(m.arrived), c.arrivals)
+		})
+	}
+}
