Proxy: kept connections follow changed limits

Cause: net/http takes the limit of headers and the times for headers and idling once for each connection. Change: when one of them changes, idle connections from before are closed before a byte of the next request is read, those in use end with their next answer.

--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -130,13 +130,20 @@
 		return err
 	}
 	n.daemon.Loop.Inspect(func(r *router.Router) { placement(r, way) })
-	n.daemon.OnSnapshot(func(p *config.Snapshot) { n.limits.Store(&p.Config.Limits) })
 	n.proxy = proxy.New(n.daemon.Loop, headers(), proxySettings(s), n.limitsNow, n.daemon.FrontendID)
+	n.daemon.OnSnapshot(n.followLimits)
 	n.serve(listeners)
 	lg.Info().Str("zone", s.Zone).Bool("first", s.FirstStart).Msg("started")
 	return n.supervise(file, signals)
 }
 
+// followLimits puts the limits of a configuration into force; kept connections follow beside the owner of control state, which must not wait.
+func (n *platformNode) followLimits(p *config.Snapshot) {
+	if former := n.limits.Swap(&p.Config.Limits); *former != p.Config.Limits {
+		go n.proxy.LimitsChanged()
+	}
+}
+
 func (n *platformNode) limitsNow() config.Limits { return *n.limits.Load() }
 
 // serve serves each interface that the settings give the node.
@@ -216,35 +223,3 @@
 		return srv.Close()
 	})
 }
-
-// readyWithin bounds how long awaitReady waits, readyPoll is how often it looks.
-const (
-	readyWithin = 700 * time.Millisecond
-	readyPoll   = 20 * time.Millisecond
-)
-
-// awaitReady leaves the first connections after a start in the listener's queue until they can be served, or refused for good.
-func awaitReady(t *tomb.Tomb, h *daemon.Daemon) {
-	end := time.After(readyWithin)
-	tick := time.NewTicker(readyPoll)
-	defer tick.Stop()
-	for readiness(h, &atomic.Bool{}) != "" {
-		select {
-		case <-t.Dying():
-			return
-		case <-end:
-			return
-		case <-tick.C:
-		}
-	}
-}
-
-// readiness tells why requests should be sent elsewhere, or "".
-func readiness(h *daemon.Daemon, retired *atomic.Bool) string {
-	if retired.Load() {
-		return "draining"
-	}
-	var why string
-	h.Loop.Inspect(func(r *router.Router) { why = r.Ready(daemon.Clock()) })
-	return why
-}
--- a/proxy/client.go
+++ b/proxy/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/mallowbridge/mallowbridge/config"
 )
 
 // What a client's connection is doing. Only an idle one may be shut, and only before a byte of the next request was read.
@@ -29,6 +31,8 @@
 	// keepAlive is the value of Keep-Alive that fits how long the connection may be idle, if any.
 	keepAlive []string
 	state     atomic.Int32
+	// limits are those that the connection was accepted under.
+	limits config.Limits
 	// readDeadline is the deadline for reads that net/http asked for, since boot; 0: none.
 	readDeadline atomic.Int64
 	ended        atomic.Bool
@@ -176,13 +180,13 @@
 	return c.TCPConn.Close()
 }
 
-// accept takes a client's connection in.
-func (p *Proxy) accept(nc net.Conn, keep []string) net.Conn {
+// accept takes a client's connection in, under the limits in force.
+func (p *Proxy) accept(nc net.Conn, keep []string, limits config.Limits) net.Conn {
 	tcp, ok := nc.(*net.TCPConn)
 	if !ok {
 		return nc
 	}
-	accepted := &client{TCPConn: tcp, proxy: p, keepAlive: keep}
+	accepted := &client{TCPConn: tcp, proxy: p, keepAlive: keep, limits: limits}
 	all := <-p.clients
 	all[accepted] = struct{}{}
 	p.clients <- all
--- a/proxy/client_test.go
+++ b/proxy/client_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"github.com/mallowbridge/mallowbridge/config"
 )
 
 // TestReadRequestOutlivesClosing: bytes of a request that were read just as the connection was shut keep it going.
@@ -23,7 +25,7 @@
 		t.Fatal(err)
 	}
 	p := New(nil, Headers{}, Defaults(), nil, "b")
-	c := p.accept(nc, nil).(*client)
+	c := p.accept(nc, nil, config.Limits{}).(*client)
 	defer c.Close()
 	c.activate()
 	c.deactivate()
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -110,11 +110,12 @@
 
 var closes = []string{"close"}
 
-// connection says what becomes of the client's connection: it ends when this node is leaving, and is kept as long as idle ones are.
+// connection says what becomes of the client's connection: it ends when this node is leaving or the limits have changed, and is kept as long as idle
+// ones are.
 func (x *transfer) connection() {
 	h := x.w.Header()
 	switch {
-	case x.proxy.shutdown.Load() != nil:
+	case x.proxy.shutdown.Load() != nil, x.client != nil && x.client.outdated(x.proxy.limits()):
 		h["Connection"] = closes
 	case x.client != nil && x.client.keepAlive != nil && !x.r.Close && h["Connection"] == nil:
 		h["Keep-Alive"] = x.client.keepAlive
--- a/proxy/serve.go
+++ b/proxy/serve.go
@@ -62,7 +62,8 @@
 	return value
 }
 
-// Serve takes clients' connections until the tomb dies; each connection keeps the limits of the time it came.
+// Serve takes clients' connections until the tomb dies. A connection keeps the limits of the time it came, but for that of bodies, which is read for
+// each request; see LimitsChanged.
 func Serve(t *tomb.Tomb, lis net.Listener, p *Proxy, limits func() config.Limits) {
 	t.Go(func() error {
 		<-t.Dying()
@@ -104,6 +105,6 @@
 				return nil
 			})
 		}
-		in.conns <- p.accept(c, keep)
+		in.conns <- p.accept(c, keep, now)
 	}
 }
