Membership: members that left are pinged on, to be found without their seeds

Cause: nobody sends to a member that left, and a starting node knows its seeds only. A dead member is pinged on and greeted when it answers. Change: so is one that left, for two minutes; its answers don't count as contact.

--- a/control/lab_test.go
+++ b/control/lab_test.go
@@ -53,6 +53,8 @@
 	// decided sees what becomes of requests for tenants' quotas.
 	decided func(name string, q router.QuotaDecided)
 	folders map[string]*memory
+	// seeds are those of nodes that start; nil: the first three nodes.
+	seeds []string
 }
 
 func newLab(t *testing.T, size int) *lab {
@@ -80,7 +82,7 @@
 	fmt.Sscanf(name, "n%d", &at)
 	l.ids++
 	cfg := Config{
-		Name: name, Addr: name, Boot: fmt.Sprint(l.ids), Zone: fmt.Sprint(at % l.zones), Incarnation: l.ids << 20, Seed: l.ids, Seeds: []string{"n0", "n1", "n2"},
+		Name: name, Addr: name, Boot: fmt.Sprint(l.ids), Zone: fmt.Sprint(at % l.zones), Incarnation: l.ids << 20, Seed: l.ids, Seeds: l.startSeeds(),
 		Membership: membership.Defaults(), Gossip: gossip.Defaults(), Read: anyDocument, ListEvery: time.Second, FaultTolerance: l.tolerate, Bootstraps: first, ServesIsolated: true,
 		Build: l.builds[name],
 	}
@@ -96,6 +98,13 @@
 	delete(l.down, name)
 }
 
+func (l *lab) startSeeds() []string {
+	if l.seeds != nil {
+		return l.seeds
+	}
+	return []string{"n0", "n1", "n2"}
+}
+
 func anyDocument(_ []byte) (config.Config, error) {
 	return config.Config{Services: []config.Service{{Name: "o", Discovered: true}}, Tenants: []config.Tenant{labTenant}}, nil
 }
--- a/control/receive.go
+++ b/control/receive.go
@@ -63,7 +63,7 @@
 		return
 	}
 	for _, m := range n.Members.Table.All() {
-		if m.Addr == r.From && m.State == membership.Dead {
+		if m.Addr == r.From && !m.Live() {
 			n.send(r.From, n.Gossip.ReplyDigest())
 		}
 	}
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -59,3 +59,32 @@
 		t.Errorf("%d readings by %d nodes", sum, len(l.order))
 	}
 }
+
+// TestNodesThatWereToldToEndRejoinWhileTheirSeedsAreDown guards against CONFIG: core nodes that shut down gracefully come back knowing only seeds
+// that are down, nobody contacts a member that has left, and after the second one there is no majority of voters any more.
+func TestNodesThatWereToldToEndRejoinWhileTheirSeedsAreDown(t *testing.T) {
+	l := newLab(t, 8)
+	l.run(3 * time.Second)
+	if a := l.write("n4", "x"); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+	l.seeds = []string{"n5", "n6", "n7"}
+	for _, seed := range l.seeds {
+		l.down[seed] = true
+	}
+	l.run(3 * time.Second)
+	for _, name := range []string{"n0", "n1", "n2", "n4"} {
+		l.step(name, Command{ID: 1, Op: Leave{}})
+		l.run(300 * time.Millisecond)
+		l.down[name] = true
+		l.run(500 * time.Millisecond)
+		l.boot(name, false)
+		l.run(5 * time.Second)
+		if !l.nodes[name].joining.joined {
+			t.Errorf("%s has not joined 5 s after its start", name)
+		}
+	}
+	if got := l.read("n4"); got != "x" {
+		t.Errorf("read %q", got)
+	}
+}
--- a/membership/config.go
+++ b/membership/config.go
@@ -4,7 +4,8 @@
 
 // Config holds the times of failure detection.
 type Config struct {
-	// PingEvery is how often a member pings those it watches; members held dead are pinged deadPingFactor times more seldom.
+	// PingEvery is how often a member pings those it watches; members held dead, and those that left, are pinged deadPingFactor times
+	// more seldom.
 	PingEvery time.Duration
 	// DirectTimeout is how long a ping may stay unanswered until helpers are asked to ping too, IndirectTimeout how long from there
 	// until the member is suspected, and SuspectFor how long a suspicion may stand until the member is declared dead.
@@ -28,4 +29,6 @@
 const (
 	deadPingFactor = 5
 	relayFor       = 5 * time.Second
+	// leftPingFor is how long a member that left is pinged on: it may be back at its address, with seeds that are down, and know nobody.
+	leftPingFor = 2 * time.Minute
 )
--- a/membership/detector.go
+++ b/membership/detector.go
@@ -33,6 +33,8 @@
 	// lastPing is when a member was pinged or answered last, suspectSince when it was first suspected.
 	lastPing     map[string]time.Duration
 	suspectSince map[string]time.Duration
+	// leftAt is when a member was heard to have left.
+	leftAt map[string]time.Duration
 	// pinged are the members that this one pings, at revision pingedRev of the table.
 	pinged    map[string]bool
 	pingedRev uint64
@@ -50,7 +52,7 @@
 func New(cfg Config, self Member, seed uint64, now time.Duration) *Detector {
 	k := &Detector{
 		cfg: cfg, Self: self, rng: rand.New(rand.NewPCG(seed, 13)), probes: map[uint64]*probe{}, relays: map[uint64]relay{},
-		lastPing: map[string]time.Duration{}, suspectSince: map[string]time.Duration{}, contactedAt: now, tickedAt: now,
+		lastPing: map[string]time.Duration{}, suspectSince: map[string]time.Duration{}, leftAt: map[string]time.Duration{}, contactedAt: now, tickedAt: now,
 	}
 	k.Table.rows = map[string]Member{self.Name: self}
 	k.changes = []Member{self}
@@ -71,6 +73,7 @@
 	if m.State != Suspect {
 		delete(k.suspectSince, m.Name)
 	}
+	k.noteLeft(now, old, m)
 	switch {
 	case m.State == Suspect:
 		k.suspectSince[m.Name] = now
@@ -157,7 +160,9 @@
 	if p, ok := k.probes[m.Seq]; ok {
 		delete(k.probes, m.Seq)
 		k.lastPing[p.target] = now
-		k.contactedAt = now
+		if k.Table.rows[p.target].State != Left {
+			k.contactedAt = now
+		}
 	}
 	return nil
 }
@@ -224,9 +229,9 @@
 func (k *Detector) pingDue(now time.Duration, m Member) bool {
 	since := now - k.lastPing[m.Name]
 	switch {
-	case m.Name == k.Self.Name || m.State == Left:
+	case m.Name == k.Self.Name || (m.State == Left && now-k.leftAt[m.Name] > leftPingFor):
 		return false
-	case m.State == Dead:
+	case m.State == Dead, m.State == Left:
 		return since >= deadPingFactor*k.cfg.PingEvery
 	}
 	return k.pinged[m.Name] && since >= k.cfg.PingEvery
@@ -235,6 +240,6 @@
 func (k *Detector) ping(now time.Duration, m Member) Send {
 	k.lastPing[m.Name] = now
 	k.seq++
-	k.probes[k.seq] = &probe{target: m.Name, sentAt: now, indirect: m.State == Dead}
+	k.probes[k.seq] = &probe{target: m.Name, sentAt: now, indirect: !m.Live()}
 	return Send{To: m.Addr, Msg: Ping{Seq: k.seq, Name: m.Name}}
 }
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -46,3 +46,13 @@
 	k.rng.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
 	return ms[:min(k.cfg.Helpers, len(ms))]
 }
+
+// noteLeft notes when a member is first heard to have left.
+func (k *Detector) noteLeft(now time.Duration, old, m Member) {
+	switch {
+	case m.State != Left:
+		delete(k.leftAt, m.Name)
+	case old.State != Left:
+		k.leftAt[m.Name] = now
+	}
+}
