scheduler: a request waits as long as its client can still be answered

Seen by callers: with all replicas full and 4 s left, a request that a replica had refused once waited 3.97 s and a new one 40 ms; 20 s of prompt were sent for a client that waits 2 s; beside a warming replica a request waited for half of its time. Cause: waitUntil, admitRouted and chooseOverflow decided by a fifth of the first-token target, by half of the time to the deadline, and by whether the request had been placed before. Change: one rule for first attempts and retries (admission.go). A backoff is overridden for those that can't wait for its end. Where no start can be foreseen (no replica known, node not serving) it waits for one more reading of the platform's list, 1 s. The expected start now counts what replicas have queued themselves. Tests: five new ones in admission_test.go; on the code before all five fail (40 ms against 3.97 s, 'action 1, want 4', ...).

--- a/config/config.go
+++ b/config/config.go
@@ -86,6 +86,22 @@
 	Public bool
 }
 
+const (
+	// A client ends a stream that stays silent, before its first event too, for the longest of minSilenceTimeout,
+	// silentTargets first-token targets and silentGaps event gap targets (docs/notes/platform.md, What clients wait for).
+	minSilenceTimeout = 2 * time.Second
+	silentTargets     = 4
+	silentGaps        = 8
+)
+
+// SilenceTimeout returns how long a client waits for the next event of a stream, or 0 if responses are not streams.
+func (r *Route) SilenceTimeout() time.Duration {
+	if !r.Streaming {
+		return 0
+	}
+	return max(minSilenceTimeout, silentTargets*r.FirstTokenTarget, silentGaps*r.EventGapTarget)
+}
+
 // Limits restrict the size of requests and how long clients may take. The daemon's own limit applies where a field is 0.
 type Limits struct {
 	// HeaderBytes and BodyBytes are the maximum sizes of a request's header and body.
--- a/router/route.go
+++ b/router/route.go
@@ -41,7 +41,7 @@
 func routeClass(route *config.Route, priority int) scheduler.RequestClass {
 	return scheduler.RequestClass{
 		Value: 1, Urgency: math.Pow(2, -float64(priority)), FirstTokenTarget: orElse(route.FirstTokenTarget, route.Timeout),
-		Idempotent: route.Idempotent || route.Resumable, Resumable: route.Resumable, MaxAttempts: max(route.MaxAttempts, 1), Timeout: route.Timeout,
+		Idempotent: route.Idempotent || route.Resumable, Resumable: route.Resumable, MaxAttempts: max(route.MaxAttempts, 1), Timeout: route.Timeout, SilenceTimeout: route.SilenceTimeout(),
 	}
 }
 
--- a/router/route_test.go
+++ b/router/route_test.go
@@ -84,6 +84,7 @@
 		if onlyDecision(t, submit(r, convergeTime, fmt.Sprint(i), "/x"), router.Place).Instance == "i1" {
 			big++
 		}
+		r.Step(convergeTime, router.ClientDisconnected{Request: fmt.Sprint(i)})
 	}
 	if big < 1740 || big > 1860 {
 		t.Errorf("%d of 2000 requests went to the service with 90 %% of the weight", big)
--- /dev/null
+++ b/scheduler/admission.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+// refreshInterval is how often the platform's list of replicas is read. While no replica is known, or the control plane
+// does not allow requests to be served, a request waits for one more reading.
+const refreshInterval = time.Second
+
+// defaultRetryAfter is the RetryAfter when it is unknown when capacity will be free, and the maximum otherwise.
+const defaultRetryAfter = time.Second
+
+// admitRouted places a routed request, keeps it queued or rejects it, by the rule in docs/design.md: it waits as long as
+// it can still be answered before its client leaves. First attempts and retries are treated alike.
+func (s *Scheduler) admitRouted(now time.Duration, id int, req *Request, queue *serviceQueue, kept int) bool {
+	if now >= req.Deadline {
+		s.reject(now, id, "deadline exceeded", 0)
+		return false
+	}
+	if req.Resume && !s.anyCompatible(req) {
+		s.reject(now, id, "no replica has the model weights that produced the start of the response", 0)
+		return false
+	}
+	if s.placeNow(now, id, req, queue) {
+		return false
+	}
+	start := s.expectedStart(now, req, *queue)
+	inTime := start.at+s.leastWork(now, req) <= req.clientLeavesAt()
+	if start.anyEligible && inTime && kept < s.cfg.QueueLimit {
+		return true
+	}
+	if s.placeDuringBackoff(now, id, req) {
+		return false
+	}
+	if !start.anyEligible {
+		return s.awaitRefresh(now, id, req, kept, "no replica is known")
+	}
+	s.reject(now, id, "no replica can answer before the client leaves", min(start.at-now, defaultRetryAfter))
+	return false
+}
+
+// placeNow places a request at a replica with a free slot, otherwise in the queue of a replica. It returns false if none
+// takes the request in time for its client. It skips the search if another request of the service has found no room.
+func (s *Scheduler) placeNow(now time.Duration, id int, req *Request, queue *serviceQueue) bool {
+	if queue.full && !req.Resume {
+		return false
+	}
+	c, _ := s.chooseReplica(now, req)
+	if c.replica < 0 {
+		c = s.chooseOverflow(now, req, false)
+	}
+	if c.replica < 0 {
+		queue.full = queue.full || !req.Resume
+		return false
+	}
+	if now+c.estimate > req.clientLeavesAt() {
+		return false
+	}
+	s.place(now, id, req, c)
+	return true
+}
+
+// placeDuringBackoff places a request that cannot wait for the end of the replicas' backoffs.
+func (s *Scheduler) placeDuringBackoff(now time.Duration, id int, req *Request) bool {
+	c := s.chooseOverflow(now, req, true)
+	if c.replica < 0 || now+c.estimate > req.clientLeavesAt() {
+		return false
+	}
+	s.place(now, id, req, c)
+	return true
+}
+
+// awaitRefresh keeps a request, whose start cannot be predicted, queued for one refreshInterval and then rejects it.
+func (s *Scheduler) awaitRefresh(now time.Duration, id int, req *Request, kept int, reason string) bool {
+	refresh := req.QueuedAt + refreshInterval
+	if now < refresh && now+s.leastWork(now, req) <= req.clientLeavesAt() && kept < s.cfg.QueueLimit {
+		return true
+	}
+	s.reject(now, id, reason, refreshInterval)
+	return false
+}
+
+// leastWork returns the time to the request's first token at the replica that has most of its prompt cached, once nothing
+// else delays it there. It is computed once each time the request is queued.
+func (s *Scheduler) leastWork(now time.Duration, req *Request) time.Duration {
+	if req.leastWork > 0 {
+		return req.leastWork
+	}
+	svc := &s.Services[req.Service]
+	least := time.Duration(math.MaxInt64)
+	for _, id := range svc.Replicas {
+		if r := &s.Replicas[id]; r.eligible() && req.compatibleWith(r) {
+			confirmed, predicted := s.Index.Lookup(now, id, req.PrefixBlocks)
+			least = min(least, s.idleEstimate(req, id, s.uncachedTokens(req, confirmed, predicted)))
+		}
+	}
+	if least == math.MaxInt64 {
+		return svc.BaseLatency
+	}
+	req.leastWork = least
+	return least
+}
+
+// idleEstimate returns the expected time to the first token at the replica if it ran nothing else.
+func (s *Scheduler) idleEstimate(req *Request, replica int, uncachedTokens float64) time.Duration {
+	svc := &s.Services[req.Service]
+	if svc.Batches {
+		return svc.BaseLatency + time.Duration(prefillWork(uncachedTokens)*s.nanosPerToken(replica))
+	}
+	return svc.BaseLatency + time.Duration(uncachedTokens*float64(svc.LatencyPerToken))
+}
+
+// startTime is when a queued request is expected to be placed, and whether any replica is eligible.
+type startTime struct {
+	at          time.Duration
+	anyEligible bool
+}
+
+// expectedStart returns when a request is expected to be placed, behind those that are queued here and at the replicas.
+func (s *Scheduler) expectedStart(now time.Duration, req *Request, queue serviceQueue) startTime {
+	svc := &s.Services[req.Service]
+	first := startTime{at: math.MaxInt64}
+	afterQueue := now + serviceQueue{slots: queue.slots, ahead: queue.ahead + 1}.wait(svc.holdTime)
+	for _, id := range svc.Replicas {
+		r := &s.Replicas[id]
+		if !r.eligible() || !req.compatibleWith(r) {
+			continue
+		}
+		first.anyEligible = true
+		next, limited := afterQueue+s.replicaQueueTime(now, id), s.warmupLimited(now, id)
+		switch {
+		case limited && s.warmupShare(now, id) == 0:
+			continue
+		case limited:
+			next = max(r.nextWarmupStart, now) + time.Duration(queue.ahead)*s.warmupSpacing(now, id)
+		case now < r.BackoffUntil && s.estimatedLoad(now, id) < r.Capacity:
+			next = r.BackoffUntil
+		}
+		first.at = min(first.at, next)
+	}
+	if first.at == math.MaxInt64 {
+		first.at = now
+	}
+	return first
+}
+
+// replicaQueueTime returns the expected time until a replica has started the requests that it has queued itself.
+func (s *Scheduler) replicaQueueTime(now time.Duration, replica int) time.Duration {
+	r := &s.Replicas[replica]
+	svc := &s.Services[r.Service]
+	if !svc.Queues {
+		return 0
+	}
+	return serviceQueue{slots: r.Capacity, ahead: max(s.estimatedLoad(now, replica)-r.Capacity, 0)}.wait(svc.holdTime)
+}
--- /dev/null
+++ b/scheduler/admission_test.go
@@ -0,0 +1,142 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+)
+
+// fillReplicas reports all replicas as full, with as many requests in their queues as they accept.
+func fillReplicas(s *Scheduler, at time.Duration) {
+	s.RecordControlContact(at, "")
+	for i := range s.Replicas {
+		s.ReportLoadFromResponse(at+responseLoadAge, i, s.Replicas[i].Capacity+queueMargin(s.Replicas[i].Capacity))
+	}
+}
+
+// TestFirstAttemptsAndRetriesWaitAlike compares a request that a replica refused with a new one that has the same
+// deadline, while all replicas are full. Both clients have the same time left, so both requests wait equally long.
+func TestFirstAttemptsAndRetriesWaitAlike(t *testing.T) {
+	class := routeClass
+	class.Timeout = 4 * time.Second
+	s := queueingScheduler(8, class)
+	refused, p := sendRequest(t, s, now)
+	s.Services[0].retryBudget.tokens = 4
+	s.EndAttempt(now, refused, p.Attempt, Refused)
+	fillReplicas(s, now)
+	fresh := s.Arrive(now, Request{})
+	wantActions(t, s.Tick(now))
+	rejectedAt := map[int]time.Duration{}
+	for at := now; at <= now+4*time.Second; at += queuePollInterval {
+		fillReplicas(s, at)
+		for _, a := range s.Tick(at) {
+			if a.Kind != Reject {
+				t.Fatalf("%+v, want Reject", a)
+			}
+			rejectedAt[a.Request] = at - now
+		}
+	}
+	difference := (rejectedAt[fresh] - rejectedAt[refused]).Abs()
+	if difference > 100*ms || rejectedAt[fresh] < 3*time.Second {
+		t.Errorf("rejected after %v, the refused request after %v; want about the same time, close to the deadline at 4s", rejectedAt[fresh], rejectedAt[refused])
+	}
+}
+
+// TestRequestThatCannotBeAnsweredInTimeIsRejectedAtOnce covers clients that leave before the expected first token.
+func TestRequestThatCannotBeAnsweredInTimeIsRejectedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		silence, client time.Duration
+		tokens          int
+		queuedElsewhere int
+		want            ActionKind
+	}{
+		{"20 s of prompt, the client waits for 2 s", 0, 2 * time.Second, 100000, 0, Reject},
+		{"1 s of prompt, the client waits for 2 s", 0, 2 * time.Second, 5000, 0, Place},
+		{"replicas are full for 3 s, the client waits for 2 s", 0, 2 * time.Second, 0, 48, Reject},
+		{"replicas are full for 3 s, the client ends silent streams after 2 s", 2 * time.Second, 15 * time.Second, 0, 48, Reject},
+		{"replicas are full for 3 s, the client waits for 15 s", 0, 15 * time.Second, 0, 48, 0},
+	} {
+		class := routeClass
+		class.Timeout, class.SilenceTimeout = 15*time.Second, c.silence
+		s := queueingScheduler(8, class)
+		if c.queuedElsewhere > 0 {
+			for i := range s.Replicas {
+				s.ReportLoadFromResponse(now, i, 8+c.queuedElsewhere)
+			}
+		}
+		s.Arrive(now, Request{TailTokens: c.tokens, ClientTimeout: c.client})
+		var got ActionKind
+		for _, a := range s.Tick(now) {
+			got = a.Kind
+		}
+		if got != c.want {
+			t.Errorf("%s: action %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestReplicaQueuesAreUsedBeforeWaiting checks that neither a new request nor a retry waits here while a replica accepts
+// requests in its own queue.
+func TestReplicaQueuesAreUsedBeforeWaiting(t *testing.T) {
+	for _, retry := range []bool{false, true} {
+		s := queueingScheduler(8, routeClass)
+		if retry {
+			id, p := sendRequest(t, s, now)
+			s.Services[0].retryBudget.tokens = 4
+			s.EndAttempt(now, id, p.Attempt, Refused)
+		}
+		for i := range s.Replicas {
+			s.ReportLoadFromResponse(now, i, 8)
+		}
+		if !retry {
+			s.Arrive(now, Request{})
+		}
+		wantActions(t, s.Tick(now), Place)
+	}
+}
+
+// TestBackoffEndsOnlyForRequestsThatCannotWait checks that requests wait for the end of a backoff if their clients do,
+// and that the replica is used before it otherwise, for first attempts and retries alike.
+func TestBackoffEndsOnlyForRequestsThatCannotWait(t *testing.T) {
+	for _, c := range []struct {
+		client, backoff time.Duration
+		placed          bool
+	}{
+		{3 * time.Second, time.Second, false},
+		{900 * ms, time.Second, true},
+	} {
+		for _, retry := range []bool{false, true} {
+			s := queueingScheduler(8, routeClass)
+			id := s.Arrive(now, Request{ClientTimeout: c.client})
+			if retry {
+				p := wantActions(t, s.Tick(now), Place)
+				s.AuthorizeSend(now, id, p.Attempt)
+				s.Tick(now)
+				s.Services[0].retryBudget.tokens = 4
+				s.EndAttempt(now, id, p.Attempt, Refused)
+			}
+			for i := range s.Replicas {
+				s.Replicas[i].BackoffUntil = now + c.backoff
+			}
+			if placed := len(s.Tick(now)) == 1; placed != c.placed {
+				t.Errorf("client waits %v, retry %v: placed %v, want %v", c.client, retry, placed, c.placed)
+			}
+		}
+	}
+}
+
+// TestWarmingReplicaIsAwaitedAsAnyOther checks that the rate limit of a warming replica delays a request as long as its
+// client waits.
+func TestWarmingReplicaIsAwaitedAsAnyOther(t *testing.T) {
+	s := queueingScheduler(8, routeClass)
+	s.Replicas[1].Listed = false
+	s.Services[0].WarmupRate = 1
+	s.ExtendWarmup(0, now+time.Minute)
+	s.Recompute(now)
+	s.Replicas[0].nextWarmupStart = now + 2*time.Second
+	waiting := s.Arrive(now, Request{})
+	s.Arrive(now, Request{ClientTimeout: time.Second})
+	if d := wantActions(t, s.Tick(now), Reject); d.Request == waiting {
+		t.Error("rejected although its client waits longer than the warm-up limit")
+	}
+}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -66,7 +66,7 @@
 	s.release(now, req)
 	req.MayHaveRun = req.MayHaveRun || afterWitnesses
 	if !valid {
-		s.requeue(id, req)
+		s.requeue(now, id, req)
 		return
 	}
 	s.countRefusedRetry(svc)
--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -125,7 +125,7 @@
 	req.MayHaveRun = req.MayHaveRun || (state == Sent && result == Failed)
 	if state == Placed || (req.Idempotent && svc.retryBudget.available() && now < req.Deadline) {
 		req.Retry = true
-		s.requeue(id, req)
+		s.requeue(now, id, req)
 		return
 	}
 	if req.Idempotent && result == Refused {
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -63,9 +63,12 @@
 	return initial + int(float64(r.Capacity-initial)*(1-left))
 }
 
-// serviceQueue describes a service's queue at this router: the slots that this router can fill and the number of
-// requests that come before the next one.
-type serviceQueue struct{ slots, ahead int }
+// serviceQueue describes a service's queue at this router: the slots that this router can fill, the number of requests
+// that come before the next one, and whether one of these found no room.
+type serviceQueue struct {
+	slots, ahead int
+	full         bool
+}
 
 func (s *Scheduler) serviceQueues(now time.Duration) []serviceQueue {
 	queues := make([]serviceQueue, len(s.Services))
--- a/scheduler/match.go
+++ b/scheduler/match.go
@@ -53,7 +53,7 @@
 	if !class.routed() {
 		return s.admitDirect(now, id, req, queue, kept)
 	}
-	if !s.admitRouted(now, id, req, *queue, kept) {
+	if !s.admitRouted(now, id, req, queue, kept) {
 		return false
 	}
 	queue.ahead++
@@ -113,18 +113,20 @@
 	s.emit(Action{Kind: PollWitnesses, Request: id, Replica: -1})
 }
 
-// holdOrReject handles the queue while nothing may be served. Routed requests stay queued as long as their class
-// permits; others are rejected.
+// holdOrReject handles the queue while nothing may be served. Routed requests wait until that has been checked again;
+// others are rejected.
 func (s *Scheduler) holdOrReject(now time.Duration, reason string) {
 	kept := s.queued[:0]
 	for _, id := range s.queued {
 		req := s.Requests.get(id)
 		class := &s.Services[req.Service].Classes[req.Class]
-		if class.routed() && !class.Removed && now < s.waitUntil(req, class) {
-			kept = append(kept, id)
+		if !class.routed() || class.Removed {
+			s.reject(now, id, reason, time.Second)
 			continue
 		}
-		s.reject(now, id, reason, time.Second)
+		if s.awaitRefresh(now, id, req, len(kept), reason) {
+			kept = append(kept, id)
+		}
 	}
 	s.queued = kept
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -63,7 +63,8 @@
 }
 
 // requeue returns a request to the queue for another placement.
-func (s *Scheduler) requeue(id int, req *Request) {
+func (s *Scheduler) requeue(now time.Duration, id int, req *Request) {
+	req.QueuedAt, req.leastWork = now, 0
 	req.State, req.Replica, req.PrefillReplica, req.Attempt = Queued, -1, -1, 0
 	req.WitnessesAgreed, req.BackoffOverridden = false, false
 	s.queued = append(s.queued, id)
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -32,8 +32,11 @@
 	ArrivedAt    time.Duration
 	// FirstTokenDue is the target time of the first token. Deadline is when the request is abandoned.
 	FirstTokenDue, Deadline time.Duration
-	// ClientTimeout is how long the client waits, counted from the arrival; 0 if unknown.
-	ClientTimeout time.Duration
+	// ClientTimeout is how long the client waits, counted from the arrival; 0 if unknown. SilenceTimeout is copied from
+	// the class; the silence began at SilentSince.
+	ClientTimeout, SilenceTimeout, SilentSince time.Duration
+	// QueuedAt is when the request last entered the queue.
+	QueuedAt time.Duration
 
 	// Idempotent, Resumable and MaxAttempts are copied from the class at the arrival, so that later configurations do
 	// not change them.
@@ -73,6 +76,17 @@
 
 	live     bool
 	priority float64
+	// leastWork is the result of Scheduler.leastWork, 0 if it has not been computed.
+	leastWork time.Duration
+}
+
+// clientLeavesAt returns when the client stops waiting for the next part of the response: at the deadline, or earlier if
+// it ends streams that stay silent.
+func (req *Request) clientLeavesAt() time.Duration {
+	if req.SilenceTimeout == 0 {
+		return req.Deadline
+	}
+	return min(req.Deadline, req.SilentSince+req.SilenceTimeout)
 }
 
 // firstTokenTarget returns the first-token target that the class had when the request arrived.
--- a/scheduler/route.go
+++ b/scheduler/route.go
@@ -5,106 +5,9 @@
 	"time"
 )
 
-// defaultRetryAfter is the RetryAfter when it is unknown when capacity will be free, and the maximum otherwise.
-const defaultRetryAfter = time.Second
-
-// admitRouted places a routed request, keeps it queued or rejects it. A request that was never sent waits for at most a
-// fifth of its first-token target, or for half of the time to its deadline where only the rate limit of a warming
-// replica delays it.
-func (s *Scheduler) admitRouted(now time.Duration, id int, req *Request, queue serviceQueue, kept int) bool {
-	if now >= req.Deadline {
-		s.reject(now, id, "deadline exceeded", 0)
-		return false
-	}
-	if c, _ := s.chooseReplica(now, req); c.replica >= 0 {
-		s.place(now, id, req, c)
-		return false
-	}
-	if req.Resume && !s.anyCompatible(req) {
-		s.reject(now, id, "no replica has the model weights that produced the start of the response", 0)
-		return false
-	}
-	if req.Sends > 0 && s.placeOverflow(now, id, req) {
-		return false
-	}
-	start := s.expectedStart(now, req, queue)
-	until := s.waitUntil(req, &s.Services[req.Service].Classes[req.Class])
-	if start.warmupLimited {
-		until = max(until, req.ArrivedAt+(req.Deadline-req.ArrivedAt)/2)
-	}
-	if start.at <= until && now < until && kept < s.cfg.QueueLimit {
-		return true
-	}
-	if s.placeOverflow(now, id, req) {
-		return false
-	}
-	if !start.anyEligible {
-		s.reject(now, id, "no replica is known", defaultRetryAfter)
-		return false
-	}
-	s.reject(now, id, "no replica has room", min(start.at-now, defaultRetryAfter))
-	return false
-}
-
-// placeOverflow places a request in a replica's own queue, if a replica accepts it there.
-func (s *Scheduler) placeOverflow(now time.Duration, id int, req *Request) bool {
-	c := s.chooseOverflow(now, req)
-	if c.replica < 0 {
-		return false
-	}
-	s.place(now, id, req, c)
-	return true
-}
-
-// waitUntil returns the time until which a request may stay queued: for a fifth of its first-token target before its first send,
-// until its deadline afterwards.
-func (*Scheduler) waitUntil(req *Request, class *RequestClass) time.Duration {
-	if req.Sends > 0 {
-		return req.Deadline
-	}
-	return min(req.ArrivedAt+class.FirstTokenTarget/5, req.Deadline)
-}
-
-// startTime is when a queued request is expected to be placed, whether only the rate limit of a warming replica delays
-// it, and whether any replica is eligible.
-type startTime struct {
-	at                         time.Duration
-	warmupLimited, anyEligible bool
-}
-
-func (s *Scheduler) expectedStart(now time.Duration, req *Request, queue serviceQueue) startTime {
-	svc := &s.Services[req.Service]
-	var first startTime
-	first.at = time.Duration(math.MaxInt64)
-	afterQueue := serviceQueue{slots: queue.slots, ahead: queue.ahead + 1}.wait(svc.holdTime)
-	for _, id := range svc.Replicas {
-		r := &s.Replicas[id]
-		if !r.eligible() {
-			continue
-		}
-		first.anyEligible = true
-		next, limited := now+afterQueue, s.warmupLimited(now, id)
-		switch {
-		case limited && s.warmupShare(now, id) == 0:
-			continue
-		case limited:
-			next = max(r.nextWarmupStart, now) + time.Duration(queue.ahead)*s.warmupSpacing(now, id)
-		case now < r.BackoffUntil && s.estimatedLoad(now, id) < r.Capacity:
-			next = r.BackoffUntil
-		}
-		if next < first.at {
-			first.at, first.warmupLimited = next, limited
-		}
-	}
-	if !first.anyEligible {
-		return startTime{at: now}
-	}
-	return first
-}
-
-// chooseOverflow returns a queueing replica that can take the request in its own queue, or one that is skipped only
-// because of its backoff.
-func (s *Scheduler) chooseOverflow(now time.Duration, req *Request) choice {
+// chooseOverflow returns a queueing replica that can take the request in its own queue; with duringBackoff set, also one
+// whose backoff is in effect.
+func (s *Scheduler) chooseOverflow(now time.Duration, req *Request, duringBackoff bool) choice {
 	svc := &s.Services[req.Service]
 	c := choice{replica: -1, estimate: time.Duration(math.MaxInt64)}
 	if !svc.Queues {
@@ -113,14 +16,14 @@
 	for _, id := range svc.Replicas {
 		r := &s.Replicas[id]
 		backedOff := now < r.BackoffUntil
-		if !r.eligible() || !req.compatibleWith(r) || s.warmupBlocked(now, id) || (backedOff && req.Placements > 0) {
+		if !r.eligible() || !req.compatibleWith(r) || s.warmupBlocked(now, id) || (backedOff && !duringBackoff) {
 			continue
 		}
 		if s.estimatedLoad(now, id) >= r.Capacity+queueMargin(r.Capacity) {
 			continue
 		}
 		confirmed, predicted := s.Index.Lookup(now, id, req.PrefixBlocks)
-		estimate := s.estimate(now, req, id, confirmed, predicted) + max(r.BackoffUntil-now, 0)
+		estimate := s.estimate(now, req, id, confirmed, predicted)
 		if estimate < c.estimate {
 			c = choice{replica: id, confirmed: confirmed, predicted: predicted, estimate: estimate, backoffOverridden: backedOff}
 		}
@@ -146,17 +49,18 @@
 	svc := &s.Services[req.Service]
 	switch {
 	case state == Placed:
-		s.requeue(id, req)
+		s.requeue(now, id, req)
 		return
 	case result == NotSent && state == Sent:
 		req.Sends--
 		if req.Retry {
 			svc.retryBudget.refund()
 		}
-		s.requeue(id, req)
+		s.requeue(now, id, req)
 		return
 	case state == Streaming:
 		req.Resume, req.WeightsRevision = req.Resumable, s.Replicas[req.Replica].WeightsRevision
+		req.SilentSince = now
 	case result != Refused:
 		req.MayHaveRun = true
 	}
@@ -166,7 +70,7 @@
 	}
 	mayRetry := req.Sends < req.MaxAttempts && now < req.Deadline
 	if mayRetry && svc.retryBudget.available() && (result == Refused || req.Idempotent || req.Resume) {
-		s.requeue(id, req)
+		s.requeue(now, id, req)
 		return
 	}
 	if mayRetry {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -165,7 +165,8 @@
 func (s *Scheduler) Arrive(now time.Duration, req Request) int {
 	class := s.Services[req.Service].Classes[req.Class]
 	req.Idempotent, req.Resumable, req.MaxAttempts = class.Idempotent, class.Resumable, class.MaxAttempts
-	req.ArrivedAt, req.State, req.Replica, req.PrefillReplica = now, Queued, -1, -1
+	req.ArrivedAt, req.QueuedAt, req.State, req.Replica, req.PrefillReplica = now, now, Queued, -1, -1
+	req.SilenceTimeout, req.SilentSince = class.SilenceTimeout, now
 	req.FirstTokenDue = now + class.FirstTokenTarget
 	req.Deadline = req.FirstTokenDue
 	if class.routed() {
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -15,9 +15,10 @@
 	// MaxAttempts is the maximum number of sends of one request. It is 0 for classes that are not routes. The request
 	// ids of routed requests never recur, so these need no witnesses.
 	MaxAttempts int
-	// Timeout limits the total time of a routed request.
-	Timeout   time.Duration
-	Resumable bool
+	// Timeout limits the total time of a routed request. SilenceTimeout is how long clients wait for the next event of a
+	// stream; 0 means until the request's deadline.
+	Timeout, SilenceTimeout time.Duration
+	Resumable               bool
 }
 
 func (c *RequestClass) routed() bool { return c.MaxAttempts > 0 }
