A node that shuts down keeps no queue

Seen (by reading, after requests wait as long as their clients): a request that waits for a replica at SIGTERM could be sent so late that the process ends before it is answered, which may cut it (LOST). Clients' next attempts reach other nodes (PROTOCOL), so it is rejected at once with the least Retry-After, new ones that find no room too. Change: Router.StopQueueing, called at SIGTERM by the platform's node and by the simulated one. Test: TestNoRequestWaitsDuringShutdown; without the call both requests stay queued.

--- a/cmd/mallowbridge/supervise.go
+++ b/cmd/mallowbridge/supervise.go
@@ -11,6 +11,7 @@
 	"github.com/mallowbridge/mallowbridge/daemon"
 	"github.com/mallowbridge/mallowbridge/platform"
 	"github.com/mallowbridge/mallowbridge/proxy"
+	"github.com/mallowbridge/mallowbridge/router"
 )
 
 // supervise handles signals until the node ends: SIGHUP reloads the settings file, other signals drain and stop the node.
@@ -51,11 +52,12 @@
 const retireTimeout = 200 * time.Millisecond
 
 // drain shuts the node down in order within its grace period. It first reports that the node is not ready, so that clients use other nodes,
-// then gives up the node's leases and roles, and returns when no request is running.
+// and lets no request wait for a replica any more, then gives up the node's leases and roles, and returns when no request is running.
 func (n *platformNode) drain() {
 	schedule := proxy.ShutdownSchedule{Grace: n.settings.Bounds.GracePeriod}
 	n.draining.Store(true)
 	n.proxy.Shutdown(schedule.Grace)
+	n.daemon.RouterLoop.Inspect((*router.Router).StopQueueing)
 	n.daemon.CallWithDeadline(context.Background(), daemon.Clock()+retireTimeout, control.Retire{})
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
--- a/router/router.go
+++ b/router/router.go
@@ -148,6 +148,9 @@
 // UnsentRequests returns the number of requests whose current attempt has not been sent. A node that stops waits for these.
 func (r *Router) UnsentRequests() int { return r.scheduler.Unsent() }
 
+// StopQueueing makes the router reject requests that cannot be placed at once. A node that shuts down calls it.
+func (r *Router) StopQueueing() { r.scheduler.StopQueueing() }
+
 // DisableIndex makes the prefix index find nothing from now on, for comparisons with and without it.
 func (r *Router) DisableIndex() { r.scheduler.Index.Disabled = true }
 
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -26,6 +26,10 @@
 	if s.placeNow(now, id, req, queue) {
 		return false
 	}
+	if s.queueingStopped {
+		s.reject(now, id, "node is shutting down", minRetryAfter)
+		return false
+	}
 	start := s.expectedStart(now, req, *queue)
 	inTime := start.at+s.leastWork(now, req) <= req.clientLeavesAt()
 	if start.anyEligible && inTime && kept < s.cfg.QueueLimit {
@@ -155,3 +159,7 @@
 	}
 	return serviceQueue{slots: r.Capacity, ahead: max(s.estimatedLoad(now, replica)-r.Capacity, 0)}.wait(svc.holdTime)
 }
+
+// StopQueueing makes the scheduler reject requests that cannot be placed at once. A router that is shutting down keeps no
+// queue, because the clients' next attempts reach other routers.
+func (s *Scheduler) StopQueueing() { s.queueingStopped = true }
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -140,3 +140,25 @@
 		t.Error("rejected although its client waits longer than the warm-up limit")
 	}
 }
+
+// TestNoRequestWaitsDuringShutdown checks that neither new nor waiting requests stay queued at a router that is shutting
+// down, although their clients would wait: other routers can take them now, and this one may end before they are answered.
+func TestNoRequestWaitsDuringShutdown(t *testing.T) {
+	s := queueingScheduler(8, routeClass)
+	fillReplicas(s, now)
+	s.Arrive(now, Request{})
+	wantActions(t, s.Tick(now))
+	s.StopQueueing()
+	s.Arrive(now, Request{})
+	for _, d := range s.Tick(now + ms) {
+		if d.Kind != Reject || d.RetryAfter != minRetryAfter {
+			t.Errorf("%+v, want Reject with RetryAfter %v", d, minRetryAfter)
+		}
+	}
+	if len(s.queued) > 0 {
+		t.Errorf("%d requests still wait", len(s.queued))
+	}
+	s.ReportLoadFromResponse(now+4*ms, 0, 0)
+	s.Arrive(now+2*ms, Request{})
+	wantActions(t, s.Tick(now+2*ms), Place)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -35,6 +35,8 @@
 	nextRoundRobin int
 	nextDeadline   time.Duration
 	actions        []Action
+	// queueingStopped is set by StopQueueing.
+	queueingStopped bool
 
 	// controlContactAt and notServingReason are set by RecordControlContact.
 	controlContactAt time.Duration
--- a/sim/sitefaults.go
+++ b/sim/sitefaults.go
@@ -220,6 +220,7 @@
 	w.Tracef("%s starts to shut down", n.Name)
 	s.rules.recordFault([]*Node{n}, shutdownGrace+time.Second, true, false)
 	n.shuttingDown, n.shutdownAt = true, w.Now
+	n.router.StopQueueing()
 	w.Call(n, control.Retire{}, func(control.Answer) {})
 	hasLeft := false
 	var poll func()
