scheduler: urgency, then the due time, says who goes first

Seen by callers: an urgent request waited behind one that had merely waited longer (order 0 3 2 1 in the test, 3 2 0 1 now). Cause: the priority doubled after a sixteenth of the first-token target and its slack had a floor of 0.05, both set by what late rejections cost; the target stretched the time left, so that equal due times counted differently. QueuedPriorityFactor is gone. What a request is worth is taken at its arrival, as everything else it may do. Test: TestQueueIsOrderedByUrgencyThenDueTime fails before.

--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -162,3 +163,39 @@
 	s.Arrive(now+2*ms, Request{})
 	wantActions(t, s.Tick(now+2*ms), Place)
 }
+
+// TestQueueIsOrderedByUrgencyThenDueTime lets requests of three classes wait for one slot. How long one has waited gives
+// it no other place than its due time does.
+func TestQueueIsOrderedByUrgencyThenDueTime(t *testing.T) {
+	patient, hurried, urgent := routeClass, routeClass, routeClass
+	patient.FirstTokenTarget, hurried.FirstTokenTarget = 3200*ms, 1200*ms
+	urgent.FirstTokenTarget, urgent.Urgency = 8*time.Second, 2
+	s := queueingScheduler(1, patient, hurried, urgent)
+	s.Replicas[1].Listed, s.Services[0].holdTime = false, 20*ms
+	want := []int{3, 2, 0, 1}
+	ids := map[int]int{}
+	for i, arrival := range []struct {
+		class int
+		at    time.Duration
+	}{{0, 0}, {0, 150 * ms}, {1, 200 * ms}, {2, 220 * ms}} {
+		fillReplicas(s, now+arrival.at)
+		ids[s.Arrive(now+arrival.at, Request{Class: arrival.class})] = i
+		wantActions(t, s.Tick(now+arrival.at))
+	}
+	var got []int
+	for at := now + 230*ms; len(got) < len(want) && at < now+time.Second; at += 10 * ms {
+		s.RecordControlContact(at, "")
+		s.ReportLoadFromResponse(at+responseLoadAge, 0, 0)
+		s.Replicas[0].BackoffUntil = 0
+		for _, p := range s.Tick(at) {
+			if p.Kind == Place {
+				got = append(got, ids[p.Request])
+				s.EndAttempt(at, p.Request, p.Attempt, NotSent)
+				s.ClientDisconnected(at, p.Request)
+			}
+		}
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("placed in the order %v of their arrivals, want %v", got, want)
+	}
+}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -26,9 +26,6 @@
 	HomeBonus float64
 	// NewRequestWaitFactor multiplies the expected queueing time of a request that has just arrived.
 	NewRequestWaitFactor float64
-	// QueuedPriorityFactor multiplies the priority of a request that has waited for more than a sixteenth of its
-	// first-token target.
-	QueuedPriorityFactor float64
 	// AnnounceTokens is the minimum number of uncached prompt tokens at which a placement is announced to the other
 	// routers. AnnounceTokensPerRouter times the number of routers is a second minimum, so that large fleets send fewer
 	// announcements.
@@ -46,7 +43,7 @@
 func Defaults(self, zone string) Config {
 	return Config{
 		Self: self, Zone: zone, QueueLimit: 256, ControlTimeout: time.Second, ResponseTimeout: 8 * time.Second,
-		PredictedWeight: 0.7, HomeBonus: 4, NewRequestWaitFactor: 1.2, QueuedPriorityFactor: 2,
+		PredictedWeight: 0.7, HomeBonus: 4, NewRequestWaitFactor: 1.2,
 		AnnounceTokens: 4000, AnnounceTokensPerRouter: 150,
 		PrefixMissCost: 0.3, CrossZoneCost: 0.04, CrossZoneTokenCost: 0.01, Index: prefixindex.Defaults(),
 	}
--- a/scheduler/match.go
+++ b/scheduler/match.go
@@ -1,11 +1,12 @@
 package scheduler
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
-// processQueue places, rejects or keeps each queued request, in the order of their priorities.
+// processQueue places, rejects or keeps each queued request, the most urgent first.
 func (s *Scheduler) processQueue(now time.Duration) {
 	if len(s.queued) == 0 {
 		return
@@ -14,7 +15,7 @@
 		s.holdOrReject(now, reason)
 		return
 	}
-	s.prioritize(now)
+	s.sortQueue()
 	queues := s.serviceQueues(now)
 	kept := s.queued[:0]
 	for _, id := range s.queued {
@@ -26,19 +27,11 @@
 	s.queued = kept
 }
 
-// prioritize sorts the queue by priority, which increases as the time to the first-token target runs out.
-func (s *Scheduler) prioritize(now time.Duration) {
-	for _, id := range s.queued {
-		req := s.Requests.get(id)
-		class := &s.Services[req.Service].Classes[req.Class]
-		slack := max(float64(req.FirstTokenDue-now)/float64(class.FirstTokenTarget), 0.05)
-		req.priority = class.Value * class.Urgency / slack
-		if now-req.ArrivedAt > class.FirstTokenTarget/16 {
-			req.priority *= s.cfg.QueuedPriorityFactor
-		}
-	}
-	sort.SliceStable(s.queued, func(i, j int) bool {
-		return s.Requests.rows[s.queued[i]].priority > s.Requests.rows[s.queued[j]].priority
+// sortQueue puts more urgent requests first, and among equally urgent ones those whose first token is due sooner.
+func (s *Scheduler) sortQueue() {
+	slices.SortStableFunc(s.queued, func(i, j int) int {
+		a, b := &s.Requests.rows[i], &s.Requests.rows[j]
+		return cmp.Or(cmp.Compare(b.urgency, a.urgency), cmp.Compare(a.FirstTokenDue, b.FirstTokenDue))
 	})
 }
 
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -74,8 +74,9 @@
 	// PrefillQueueEmpty: the replica's prefill queue was empty when the request was placed, to this router's knowledge.
 	PrefillQueueEmpty bool
 
-	live     bool
-	priority float64
+	live bool
+	// urgency is the class's value times its urgency at the arrival.
+	urgency float64
 	// leastWork is the result of Scheduler.leastWork, 0 if it has not been computed.
 	leastWork time.Duration
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -169,6 +169,7 @@
 	req.Idempotent, req.Resumable, req.MaxAttempts = class.Idempotent, class.Resumable, class.MaxAttempts
 	req.ArrivedAt, req.QueuedAt, req.State, req.Replica, req.PrefillReplica = now, now, Queued, -1, -1
 	req.SilenceTimeout, req.SilentSince = class.SilenceTimeout, now
+	req.urgency = class.Value * class.Urgency
 	req.FirstTokenDue = now + class.FirstTokenTarget
 	req.Deadline = req.FirstTokenDue
 	if class.routed() {
--- a/scheduler/service.go
+++ b/scheduler/service.go
@@ -4,7 +4,7 @@
 
 // RequestClass is a class of requests to a service. A route is represented by one class in each service that it may use.
 type RequestClass struct {
-	// Value and Urgency are factors of a request's priority.
+	// Value and Urgency together say which requests go first: those with the higher product.
 	Value, Urgency float64
 	// FirstTokenTarget is the latency target for the first token, counted from the arrival.
 	FirstTokenTarget time.Duration
