scheduler: requests of the own interface wait by the same rule

Seen by callers: on the product's own interface a request was refused at its arrival by a wait that was multiplied by 1.2, and the same request was let wait a tick later; while a node might not serve, requests of routes waited and others didn't. Cause: admitDirect told arrivals (justArrived) and first placements from others and carried NewRequestWaitFactor, both set by the count of late rejections. Change: admitDirect is gone, both interfaces use admit; without a route the deadline is the due time of the first token, as before. Witnesses are still asked while such a request waits.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -12,9 +12,9 @@
 // defaultRetryAfter is the RetryAfter when it is unknown when capacity will be free, and the maximum otherwise.
 const defaultRetryAfter = time.Second
 
-// admitRouted places a routed request, keeps it queued or rejects it, by the rule in docs/design.md: it waits as long as
-// it can still be answered before its client leaves. First attempts and retries are treated alike.
-func (s *Scheduler) admitRouted(now time.Duration, id int, req *Request, queue *serviceQueue, kept int) bool {
+// admit places a queued request, keeps it queued or rejects it, by the rule in docs/design.md: it waits as long as it can
+// still be answered before its client leaves. First attempts and retries are treated alike.
+func (s *Scheduler) admit(now time.Duration, id int, req *Request, queue *serviceQueue, kept int) bool {
 	if now >= req.Deadline {
 		s.reject(now, id, "deadline exceeded", 0)
 		return false
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -24,8 +24,6 @@
 	// HomeBonus is how much cheaper the home replica of a prefix is, as a multiple of the time to prefill its uncached
 	// part.
 	HomeBonus float64
-	// NewRequestWaitFactor multiplies the expected queueing time of a request that has just arrived.
-	NewRequestWaitFactor float64
 	// AnnounceTokens is the minimum number of uncached prompt tokens at which a placement is announced to the other
 	// routers. AnnounceTokensPerRouter times the number of routers is a second minimum, so that large fleets send fewer
 	// announcements.
@@ -43,7 +41,7 @@
 func Defaults(self, zone string) Config {
 	return Config{
 		Self: self, Zone: zone, QueueLimit: 256, ControlTimeout: time.Second, ResponseTimeout: 8 * time.Second,
-		PredictedWeight: 0.7, HomeBonus: 4, NewRequestWaitFactor: 1.2,
+		PredictedWeight: 0.7, HomeBonus: 4,
 		AnnounceTokens: 4000, AnnounceTokensPerRouter: 150,
 		PrefixMissCost: 0.3, CrossZoneCost: 0.04, CrossZoneTokenCost: 0.01, Index: prefixindex.Defaults(),
 	}
