scheduler: a rejection counts as late if the request had waited or been placed

Seen by operators: a request that was held 0.5 s of a target of a minute and then rejected counted as early, one with a target of 1 ms as late at any time. Change: late says that the client was kept waiting, or a replica was chosen, before it was rejected. The outer names bid.deniedLate and 'late' stay and mean that. Test: TestRejectionIsLateIfTheRequestHadWaited fails before ('target 1m0s: rejected after 500ms, late false'); TestRouteRemovedWhileRequestIsQueued now says that its request, which had waited, was rejected late.

--- a/router/decision.go
+++ b/router/decision.go
@@ -48,7 +48,7 @@
 	// Reason is a human-readable reason. RetryAfter is how long a rejected client should wait before it retries.
 	Reason     string        `json:"why,omitempty"`
 	RetryAfter time.Duration `json:"after,omitempty"`
-	// RejectedLate marks a rejection after the request was placed, or after it waited for a quarter of its first-token target.
+	// RejectedLate marks a rejection after the request was placed or had to wait, instead of at its arrival.
 	RejectedLate bool `json:"late,omitempty"`
 	// ConfirmedTokens is the number of prompt tokens that the replica is known to have cached, PredictedTokens the number that it is predicted
 	// to have cached.
--- a/router/route_test.go
+++ b/router/route_test.go
@@ -97,8 +97,8 @@
 		t.Fatalf("%+v", ds)
 	}
 	d := onlyDecision(t, r.Step(convergeTime+time.Millisecond, router.SnapshotUpdate{Snapshot: routes(2, route("other", "/o/", entireTraffic("a")))}), router.Reject)
-	if d.Invalid || d.RejectedLate {
-		t.Errorf("%+v", d)
+	if d.Invalid || !d.RejectedLate {
+		t.Errorf("%+v, want a rejection that is not final, of a request that had waited", d)
 	}
 }
 
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -39,8 +39,7 @@
 	// Reason is a text for people. RetryAfter is how long a rejected client should wait before it retries.
 	Reason     string
 	RetryAfter time.Duration
-	// RejectedLate marks a rejection after the request was placed once or has waited for more than a quarter of its
-	// first-token target.
+	// RejectedLate marks a rejection after the request was placed once or had to wait, instead of at its arrival.
 	RejectedLate bool
 	// ConfirmedTokens and PredictedTokens are the prompt tokens that the replica is believed to have cached.
 	ConfirmedTokens int
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -199,3 +199,26 @@
 		t.Errorf("placed in the order %v of their arrivals, want %v", got, want)
 	}
 }
+
+// TestRejectionIsLateIfTheRequestHadWaited checks which rejections count as late, for short and long targets: those that a
+// client had to wait for.
+func TestRejectionIsLateIfTheRequestHadWaited(t *testing.T) {
+	for _, target := range []time.Duration{ms, time.Minute} {
+		for _, wait := range []time.Duration{0, 500 * ms} {
+			class := routeClass
+			class.FirstTokenTarget = target
+			s := queueingScheduler(8, class)
+			fillReplicas(s, now)
+			s.Arrive(now-wait, Request{})
+			if wait > 0 {
+				s.RecordControlContact(now-wait, "")
+				wantActions(t, s.Tick(now-wait))
+				s.RecordControlContact(now, "")
+			}
+			s.StopQueueing()
+			if d := wantActions(t, s.Tick(now), Reject); d.RejectedLate != (wait > 0) {
+				t.Errorf("target %v: rejected after %v, late %v", target, wait, d.RejectedLate)
+			}
+		}
+	}
+}
--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -149,7 +149,7 @@
 		return
 	}
 	class := &s.Services[req.Service].Classes[req.Class]
-	late := req.Placements > 0 || now-req.ArrivedAt > class.FirstTokenTarget/4
+	late := req.Waited || req.Placements > 0
 	if late {
 		s.Counters.RejectedLate++
 	} else {
--- a/scheduler/match.go
+++ b/scheduler/match.go
@@ -46,6 +46,7 @@
 	if !s.admit(now, id, req, queue, kept) {
 		return false
 	}
+	req.Waited = true
 	s.pollWitnesses(id, req)
 	queue.ahead++
 	return true
@@ -71,6 +72,7 @@
 	for _, id := range s.queued {
 		req := s.Requests.get(id)
 		if s.awaitRefresh(now, id, req, len(kept), reason) {
+			req.Waited = true
 			kept = append(kept, id)
 		}
 	}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -35,8 +35,9 @@
 	// ClientTimeout is how long the client waits, counted from the arrival; 0 if unknown. SilenceTimeout is copied from
 	// the class; the silence began at SilentSince.
 	ClientTimeout, SilenceTimeout, SilentSince time.Duration
-	// QueuedAt is when the request last entered the queue.
+	// QueuedAt is when the request last entered the queue. Waited: it has stayed there, not placed at once.
 	QueuedAt time.Duration
+	Waited   bool
 
 	// Idempotent, Resumable and MaxAttempts are copied from the class at the arrival, so that later configurations do
 	// not change them.
