Retry-After says when room is expected

Seen by callers: told to come back after 0.125 s, 0.25 s, 1 s or 2 s whatever the replicas did: 0.125 s where all were full for 3 s, 2 s after a spent retry budget with slots free, at most 1 s of a wait of 3 s. Cause: constants, a quarter of the mean hold time and a cap of 1 s in place of the expected start. Change: a rejected request is told the time until the next one like it is expected to be placed (timeUntilRoom, the same expectation by which requests wait). Where this node is the reason (no configuration, not serving, no memory, shutting down) it is the least one, 10 ms, because clients' next attempts reach other nodes (PROTOCOL, How clients arrive); where no replica is known, the interval at which the platform's list is read.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -128,19 +128,19 @@
 	switch {
 	case errors.As(err, &exhausted):
 		x.proxy.Counters.Full.Add(1)
-		x.setRetryAfter(defaultRetryAfter)
+		x.setRetryAfter(retryElsewhere)
 		x.writeResponse(http.StatusServiceUnavailable, "denied", err.Error())
 		return
 	case errors.As(err, &shuttingDown):
 		x.proxy.Counters.ShuttingDown.Add(1)
-		x.setRetryAfter(shutdownRetryAfter)
+		x.setRetryAfter(retryElsewhere)
 		x.writeResponse(http.StatusServiceUnavailable, "denied", err.Error())
 		return
 	case errors.As(err, &tooLong):
 		status = http.StatusRequestEntityTooLarge
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		status = http.StatusRequestTimeout
-		x.setRetryAfter(defaultRetryAfter)
+		x.setRetryAfter(retryElsewhere)
 	}
 	x.proxy.Counters.Bad.Add(1)
 	x.writeResponse(status, "bad", err.Error())
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -181,13 +181,10 @@
 	case decision.Unauthorized:
 		e.finish(Unauthorized, decision.Reason, 0)
 	default:
-		e.finish(Rejected, decision.Reason, cmp.Or(decision.RetryAfter, defaultRetryAfter))
+		e.finish(Rejected, decision.Reason, cmp.Or(decision.RetryAfter, retryElsewhere))
 	}
 }
 
-// defaultRetryAfter is the Retry-After time for requests that did not run if the router names none.
-const defaultRetryAfter = 250 * time.Millisecond
-
 // HandleRouterClosed must be called when the router will make no more decisions about the request. It returns the actions to carry out, in
 // order.
 func (e *Exchange) HandleRouterClosed() []Action {
--- a/proxy/reply.go
+++ b/proxy/reply.go
@@ -15,7 +15,7 @@
 	if e.mayHaveRun() {
 		e.finish(Expired, "out of time", 0)
 	} else {
-		e.finish(Rejected, "out of time", defaultRetryAfter)
+		e.finish(Rejected, "out of time", retryElsewhere)
 	}
 }
 
--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -39,8 +39,9 @@
 
 func (*ShuttingDownError) Error() string { return "shutting down" }
 
-// shutdownRetryAfter is the Retry-After time for a client that should send its request to another machine.
-const shutdownRetryAfter = 10 * time.Millisecond
+// retryElsewhere is the Retry-After time if this machine can't take a request and others can: clients' next attempts reach other machines
+// (PROTOCOL, How clients arrive).
+const retryElsewhere = 10 * time.Millisecond
 
 // admit returns a ShuttingDownError if the process is shutting down and the request might not end in time. A nil shutdown admits every
 // request; a zero deadline means that the client named none.
--- a/router/arrive.go
+++ b/router/arrive.go
@@ -87,9 +87,10 @@
 	r.requests[id] = live
 }
 
-// rejected returns a rejection of a request that was not run, or that is a repeat of one that was.
+// rejected returns a rejection of a request that was not run here, or that is a repeat of one that was. Other routers can
+// take a request that was not run.
 func (e Arrival) rejected(reason string, repeat bool) Decision {
-	return Decision{Verdict: Reject, Request: e.Request, Reason: reason, RetryAfter: time.Second, Duplicate: repeat}
+	return Decision{Verdict: Reject, Request: e.Request, Reason: reason, RetryAfter: scheduler.MinRetryAfter, Duplicate: repeat}
 }
 
 // invalid returns a rejection of a request that cannot be served because of what it asks for.
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -9,9 +9,6 @@
 // does not allow requests to be served, a request waits for one more reading.
 const refreshInterval = time.Second
 
-// defaultRetryAfter is the RetryAfter when it is unknown when capacity will be free, and the maximum otherwise.
-const defaultRetryAfter = time.Second
-
 // admit places a queued request, keeps it queued or rejects it, by the rule in docs/design.md: it waits as long as it can
 // still be answered before its client leaves. First attempts and retries are treated alike.
 func (s *Scheduler) admit(now time.Duration, id int, req *Request, queue *serviceQueue, kept int) bool {
@@ -27,7 +24,7 @@
 		return false
 	}
 	if s.queueingStopped {
-		s.reject(now, id, "node is shutting down", minRetryAfter)
+		s.reject(now, id, "node is shutting down", MinRetryAfter)
 		return false
 	}
 	start := s.expectedStart(now, req, *queue)
@@ -39,9 +36,9 @@
 		return false
 	}
 	if !start.anyEligible {
-		return s.awaitRefresh(now, id, req, kept, "no replica is known")
+		return s.awaitRefresh(now, id, req, kept, "no replica is known", refreshInterval)
 	}
-	s.reject(now, id, "no replica can answer before the client leaves", min(start.at-now, defaultRetryAfter))
+	s.reject(now, id, "no replica can answer before the client leaves", start.at-now)
 	return false
 }
 
@@ -77,12 +74,12 @@
 }
 
 // awaitRefresh keeps a request, whose start cannot be predicted, queued for one refreshInterval and then rejects it.
-func (s *Scheduler) awaitRefresh(now time.Duration, id int, req *Request, kept int, reason string) bool {
+func (s *Scheduler) awaitRefresh(now time.Duration, id int, req *Request, kept int, reason string, retryAfter time.Duration) bool {
 	refresh := req.QueuedAt + refreshInterval
 	if now < refresh && now+s.leastWork(now, req) <= req.clientLeavesAt() && kept < s.cfg.QueueLimit {
 		return true
 	}
-	s.reject(now, id, reason, refreshInterval)
+	s.reject(now, id, reason, retryAfter)
 	return false
 }
 
@@ -126,7 +123,7 @@
 func (s *Scheduler) expectedStart(now time.Duration, req *Request, queue serviceQueue) startTime {
 	svc := &s.Services[req.Service]
 	first := startTime{at: math.MaxInt64}
-	afterQueue := now + serviceQueue{slots: queue.slots, ahead: queue.ahead + 1}.wait(svc.holdTime)
+	afterQueue := now + queue.waitOfNext(svc.holdTime)
 	for _, id := range svc.Replicas {
 		r := &s.Replicas[id]
 		if !r.eligible() || !req.compatibleWith(r) {
@@ -141,6 +138,8 @@
 			next = max(r.nextWarmupStart, now) + time.Duration(queue.ahead)*s.warmupSpacing(now, id)
 		case now < r.BackoffUntil && s.estimatedLoad(now, id) < r.Capacity:
 			next = r.BackoffUntil
+		case s.freeSlots(now, id) > queue.ahead:
+			next = now
 		}
 		first.at = min(first.at, next)
 	}
@@ -150,6 +149,22 @@
 	return first
 }
 
+// timeUntilRoom returns how long it takes until a new request like this one is expected to be placed. It is the RetryAfter of
+// a request that is not placed again itself.
+func (s *Scheduler) timeUntilRoom(now time.Duration, req *Request) time.Duration {
+	queue := s.serviceQueues(now)[req.Service]
+	for _, id := range s.queued {
+		if s.Requests.rows[id].Service == req.Service {
+			queue.ahead++
+		}
+	}
+	start := s.expectedStart(now, req, queue)
+	if !start.anyEligible {
+		return refreshInterval
+	}
+	return start.at - now
+}
+
 // replicaQueueTime returns the expected time until a replica has started the requests that it has queued itself.
 func (s *Scheduler) replicaQueueTime(now time.Duration, replica int) time.Duration {
 	r := &s.Replicas[replica]
@@ -157,7 +172,8 @@
 	if !svc.Queues {
 		return 0
 	}
-	return serviceQueue{slots: r.Capacity, ahead: max(s.estimatedLoad(now, replica)-r.Capacity, 0)}.wait(svc.holdTime)
+	excess := max(s.estimatedLoad(now, replica)-r.Capacity, 0)
+	return time.Duration(float64(excess) * float64(svc.holdTime) / float64(max(r.Capacity, 1)))
 }
 
 // StopQueueing makes the scheduler reject requests that cannot be placed at once. A router that is shutting down keeps no
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -70,7 +70,7 @@
 		return
 	}
 	s.countRefusedRetry(svc)
-	s.reject(now, id, "retry budget is spent", 2*time.Second)
+	s.reject(now, id, "retry budget is spent", s.timeUntilRoom(now, req))
 }
 
 // RefuseSend rejects a request that is placed but not sent, for the reason given by the caller.
--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -13,8 +13,9 @@
 	// maxConsecutiveFailures.
 	failureBackoff         = 150 * time.Millisecond
 	maxConsecutiveFailures = 5
-	// minRetryAfter is the minimum RetryAfter of a rejected routed request.
-	minRetryAfter = 50 * time.Millisecond
+	// MinRetryAfter is the RetryAfter of requests that can be placed at once, by this router or another. A client that
+	// comes back sooner meets the same decision.
+	MinRetryAfter = queuePollInterval
 )
 
 // EndAttempt reports how an attempt ended. The resulting action is a final one or another placement.
@@ -84,7 +85,7 @@
 		s.Requests.drop(id)
 		return
 	case NoWitnessQuorum:
-		s.reject(now, id, "its witnesses did not answer", time.Second)
+		s.reject(now, id, "its witnesses did not answer", MinRetryAfter)
 		return
 	}
 	s.recordFailedAttempt(now, req, state, result)
@@ -130,10 +131,10 @@
 	}
 	if req.Idempotent && result == Refused {
 		s.Counters.RetriesRefused++
-		s.reject(now, id, "replica is full", time.Second)
+		s.reject(now, id, "replica is full", s.timeUntilRoom(now, req))
 		return
 	}
-	s.endUnknown(id, req, "replica failed")
+	s.endUnknown(now, id, req, "replica failed")
 }
 
 // reject ends a request that is abandoned. The final action is Reject if the request certainly did not run, otherwise
@@ -145,7 +146,7 @@
 		return
 	}
 	if req.MayHaveRun {
-		s.endUnknown(id, req, reason)
+		s.endUnknown(now, id, req, reason)
 		return
 	}
 	class := &s.Services[req.Service].Classes[req.Class]
@@ -163,7 +164,7 @@
 // it in a header.
 func (c *RequestClass) retryAfter(wait time.Duration) time.Duration {
 	if c.routed() {
-		return max(wait, minRetryAfter)
+		return max(wait, MinRetryAfter)
 	}
 	return max((wait + time.Second - 1).Truncate(time.Second), time.Second)
 }
@@ -174,11 +175,11 @@
 	s.Requests.drop(id)
 }
 
-func (s *Scheduler) endUnknown(id int, req *Request, reason string) {
+func (s *Scheduler) endUnknown(now time.Duration, id int, req *Request, reason string) {
 	s.Counters.Unknowns++
 	retryAfter := time.Duration(0)
 	if req.Idempotent {
-		retryAfter = 2 * time.Second
+		retryAfter = max(s.timeUntilRoom(now, req), MinRetryAfter)
 	}
 	s.emit(Action{Kind: Unknown, Request: id, Attempt: req.Attempt, Replica: req.Replica, Reason: reason, RetryAfter: retryAfter})
 	s.Requests.drop(id)
--- a/scheduler/match.go
+++ b/scheduler/match.go
@@ -40,7 +40,7 @@
 func (s *Scheduler) processQueued(now time.Duration, id int, req *Request, queue *serviceQueue, kept int) bool {
 	class := &s.Services[req.Service].Classes[req.Class]
 	if class.Removed {
-		s.reject(now, id, "request class was removed from the configuration", time.Second)
+		s.reject(now, id, "request class was removed from the configuration", MinRetryAfter)
 		return false
 	}
 	if !s.admit(now, id, req, queue, kept) {
@@ -52,9 +52,9 @@
 	return true
 }
 
-// wait returns the expected time until the requests ahead have left the queue, if each occupies a slot for the time hold.
-func (q serviceQueue) wait(hold time.Duration) time.Duration {
-	return time.Duration(float64(q.ahead) * float64(hold) / float64(max(q.slots, 1)))
+// waitOfNext returns the expected time until the next request leaves the queue, if each occupies a slot for the time hold.
+func (q serviceQueue) waitOfNext(hold time.Duration) time.Duration {
+	return time.Duration(float64(q.ahead+1) * float64(hold) / float64(max(q.slots, 1)))
 }
 
 // pollWitnesses asks a waiting request's witnesses early, once.
@@ -66,12 +66,13 @@
 	s.emit(Action{Kind: PollWitnesses, Request: id, Replica: -1})
 }
 
-// holdOrReject handles the queue while nothing may be served. Requests wait until that has been checked again.
+// holdOrReject handles the queue while nothing may be served. Requests wait until that has been checked again; clients that
+// are rejected then find another router with their next attempt.
 func (s *Scheduler) holdOrReject(now time.Duration, reason string) {
 	kept := s.queued[:0]
 	for _, id := range s.queued {
 		req := s.Requests.get(id)
-		if s.awaitRefresh(now, id, req, len(kept), reason) {
+		if s.awaitRefresh(now, id, req, len(kept), reason, MinRetryAfter) {
 			req.Waited = true
 			kept = append(kept, id)
 		}
--- a/scheduler/route.go
+++ b/scheduler/route.go
@@ -80,7 +80,7 @@
 	if result == Refused {
 		reason = "replica is full"
 	}
-	s.reject(now, id, reason, svc.holdTime/4)
+	s.reject(now, id, reason, s.timeUntilRoom(now, req))
 }
 
 // checkDeadline abandons a routed request whose deadline has passed. Until then a silent replica may still answer.
