scheduler: placement counts callers' time

Seen by callers: a request was sent to a replica 100 ms slower to spare 9,000 tokens of reading though nobody else ran at the other one, and away from its cached prompt though 20 others would have waited for the reading (test below). Replicas that meet the target go before others. Tests: TestPrefillIsRepeatedWhereItDelaysNobody (fails before at both targets), TestOperatorsSetWhatCrossingZonesIsWorth; TestSharedBlocksArePrefilledOnceUnlessTheWaitIsLong held the price and now has 20 others running.

--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -31,8 +31,8 @@
 func addNodeCommand(app *kingpin.Application, cmds map[string]command) {
 	c := app.Command("node", "Run a node on the users' platform, with settings from a YAML file.")
 	file := c.Flag("settings", "Settings file (YAML).").Short('s').Envar(platform.SettingsEnvVar).Required().String()
-	policy := c.Flag("placement", "How replicas are chosen: index uses the prefix index; blind (by load, without the index) and round-robin are for comparisons.").
-		Default(placeByIndex).Enum(placeByIndex, placeByLoad, placeRoundRobin)
+	var replicas placement
+	replicas.addFlags(c)
 	cmds["node"] = func(_ io.Reader, _ io.Writer) error {
 		// By default SIGHUP ends the process. A SIGHUP during the start waits in this channel until the node is up. Other signals end a
 		// starting node, as they should.
@@ -42,7 +42,7 @@
 		if err != nil {
 			return err
 		}
-		return runNode(*file, s, *policy, signals)
+		return runNode(*file, s, replicas, signals)
 	}
 }
 
@@ -119,7 +119,7 @@
 }
 
 // runNode starts the node and runs it until it is stopped.
-func runNode(file string, s platform.Settings, policy string, signals chan os.Signal) error {
+func runNode(file string, s platform.Settings, replicas placement, signals chan os.Signal) error {
 	if mb := s.Resources.MemoryMB; mb > 0 {
 		// The soft limit of the Go runtime is 70 % of the process's memory.
 		debug.SetMemoryLimit(int64(mb) << 20 * 7 / 10)
@@ -136,7 +136,7 @@
 		n.tomb.Kill(nil)
 		return err
 	}
-	n.daemon.RouterLoop.Inspect(func(r *router.Router) { setPlacement(r, policy) })
+	n.daemon.RouterLoop.Inspect(replicas.apply)
 	n.proxy = proxy.New(n.daemon.RouterLoop, proxyHeaders(), proxySettings(s), n.currentLimits, n.daemon.FrontendID)
 	n.daemon.OnSnapshot(n.applyLimits)
 	n.serve(listeners)
--- a/router/router.go
+++ b/router/router.go
@@ -151,6 +151,12 @@
 // StopQueueing makes the router reject requests that cannot be placed at once. A node that shuts down calls it.
 func (r *Router) StopQueueing() { r.scheduler.StopQueueing() }
 
+// SetCrossZoneWait sets how much longer a routed request may wait for its first token to be placed in the router's own zone, and what each
+// token of its prompt adds to that.
+func (r *Router) SetCrossZoneWait(wait, perToken time.Duration) {
+	r.scheduler.SetCrossZoneWait(wait, perToken)
+}
+
 // DisableIndex makes the prefix index find nothing from now on, for comparisons with and without it.
 func (r *Router) DisableIndex() { r.scheduler.Index.Disabled = true }
 
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -48,7 +48,7 @@
 	if queue.full && !req.Resume {
 		return false
 	}
-	c, _ := s.chooseReplica(now, req)
+	c := s.chooseReplica(now, req)
 	if c.replica < 0 {
 		c = s.chooseOverflow(now, req, false)
 	}
@@ -108,7 +108,7 @@
 func (s *Scheduler) idleEstimate(req *Request, replica int, uncachedTokens float64) time.Duration {
 	svc := &s.Services[req.Service]
 	if svc.Batches {
-		return svc.BaseLatency + time.Duration(prefillWork(uncachedTokens)*s.nanosPerToken(replica))
+		return svc.BaseLatency + s.prefillTime(replica, uncachedTokens)
 	}
 	return svc.BaseLatency + time.Duration(uncachedTokens*float64(svc.LatencyPerToken))
 }
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -28,21 +28,27 @@
 	// routers. AnnounceTokensPerRouter times the number of routers is a second minimum, so that large fleets send fewer
 	// announcements.
 	AnnounceTokens, AnnounceTokensPerRouter int
-	// PrefixMissCost is the cost of prefilling 1000 shared tokens again, CrossZoneCost that of sending a request to
-	// another zone, and CrossZoneTokenCost the cost of sending 1000 of its tokens there. A cost of 1 corresponds to a
-	// first token that is expected exactly at its target time.
-	PrefixMissCost, CrossZoneCost, CrossZoneTokenCost float64
+	// CrossZoneWait is how much longer a routed request may wait for its first token to be placed in its own zone, and
+	// CrossZoneWaitPerToken the addition for each token of its prompt. Operators set them by what bytes between zones cost.
+	CrossZoneWait, CrossZoneWaitPerToken time.Duration
 	// RoundRobin places requests in turn, as a baseline in comparisons.
 	RoundRobin bool
 	Index      prefixindex.Config
 }
 
+const (
+	// DefaultCrossZoneWait is two round trips between zones a millisecond apart: a connection and a request.
+	DefaultCrossZoneWait = 4 * time.Millisecond
+	// DefaultCrossZoneWaitPerToken makes a prompt's way to another zone cost as much as prefilling it.
+	DefaultCrossZoneWaitPerToken = 10 * time.Microsecond
+)
+
 // Defaults returns the parameters that production nodes use.
 func Defaults(self, zone string) Config {
 	return Config{
 		Self: self, Zone: zone, QueueLimit: 256, ControlTimeout: time.Second, ResponseTimeout: 8 * time.Second,
 		PredictedWeight: 0.7, HomeBonus: 4,
 		AnnounceTokens: 4000, AnnounceTokensPerRouter: 150,
-		PrefixMissCost: 0.3, CrossZoneCost: 0.04, CrossZoneTokenCost: 0.01, Index: prefixindex.Defaults(),
+		CrossZoneWait: DefaultCrossZoneWait, CrossZoneWaitPerToken: DefaultCrossZoneWaitPerToken, Index: prefixindex.Defaults(),
 	}
 }
--- /dev/null
+++ b/scheduler/cost.go
@@ -0,0 +1,72 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/mallowbridge/mallowbridge/prefixindex"
+)
+
+// placementCost is what it costs callers to place a request at a replica: whether its first token misses its target, and
+// otherwise the time that it and the other requests there lose.
+type placementCost struct {
+	missesTarget bool
+	time         time.Duration
+}
+
+func (c placementCost) less(other placementCost) bool {
+	if c.missesTarget != other.missesTarget {
+		return other.missesTarget
+	}
+	return c.time < other.time
+}
+
+// placementCost adds the time to the request's first token, the time by which its prompt delays the requests that run at
+// the replica, and the time that operators would wait to keep its bytes within the zone. At the home replica of its prefix,
+// the shared blocks count as cached, because requests of other routers are sent there too.
+func (s *Scheduler) placementCost(now time.Duration, req *Request, c choice, home bool) placementCost {
+	svc, r := &s.Services[req.Service], &s.Replicas[c.replica]
+	cost := placementCost{missesTarget: now+c.estimate > req.FirstTokenDue, time: c.estimate}
+	uncached := s.uncachedTokens(req, c.confirmed, c.predicted)
+	switch {
+	case svc.Batches:
+		if home {
+			uncached -= max(float64(sharedTokens(req)-c.confirmed-c.predicted), 0)
+		}
+		cost.time += time.Duration(s.estimatedLoad(now, c.replica)) * s.prefillTime(c.replica, uncached)
+	case home:
+		missing := prefixindex.Tokens(req.PrefixBlocks) - c.confirmed - c.predicted
+		cost.time -= time.Duration(s.cfg.HomeBonus * float64(missing) * float64(svc.LatencyPerToken))
+	}
+	if !r.SameZone {
+		cost.time += s.crossZoneWait(req)
+	}
+	return cost
+}
+
+// sharedTokens returns the number of tokens that other requests may share: those of all prefix blocks but the last one,
+// which is specific to the request or its session.
+func sharedTokens(req *Request) int {
+	return prefixindex.Tokens(req.PrefixBlocks[:max(len(req.PrefixBlocks)-1, 0)])
+}
+
+// prefillTime returns the time in which a batching replica prefills a prompt.
+func (s *Scheduler) prefillTime(replica int, tokens float64) time.Duration {
+	return time.Duration(prefillWork(tokens) * s.nanosPerToken(replica))
+}
+
+// crossZoneWait returns how much longer a request may wait to be placed in its own zone.
+func (s *Scheduler) crossZoneWait(req *Request) time.Duration {
+	svc := &s.Services[req.Service]
+	class := &svc.Classes[req.Class]
+	wait := time.Duration(svc.CrossZoneCost * float64(class.FirstTokenTarget))
+	if class.routed() {
+		tokens := req.TailTokens + prefixindex.Tokens(req.PrefixBlocks)
+		wait += s.cfg.CrossZoneWait + time.Duration(tokens)*s.cfg.CrossZoneWaitPerToken
+	}
+	return wait
+}
+
+// SetCrossZoneWait sets Config.CrossZoneWait and Config.CrossZoneWaitPerToken.
+func (s *Scheduler) SetCrossZoneWait(wait, perToken time.Duration) {
+	s.cfg.CrossZoneWait, s.cfg.CrossZoneWaitPerToken = wait, perToken
+}
--- a/scheduler/prefill.go
+++ b/scheduler/prefill.go
@@ -151,22 +151,6 @@
 	return req.Estimate-s.Services[req.Service].BaseLatency < uncachedTime/2 && prefillTime > uncachedTime*4/5 && elapsed > req.Estimate*3/2
 }
 
-// batchCost returns the cost of a replica that batches. Its main term is 1 if the first event is expected exactly at the
-// target time, and grows with the cube of the estimate, up to 64.
-func (s *Scheduler) batchCost(now time.Duration, req *Request, c choice, home bool) float64 {
-	r, svc := &s.Replicas[c.replica], &s.Services[req.Service]
-	target := float64(svc.Classes[req.Class].FirstTokenTarget)
-	lateness := float64(c.estimate) / max(float64(req.FirstTokenDue-now), target/8)
-	cost := min(lateness*lateness*lateness, 64) + 0.1*float64(c.estimate)/target + 0.5*s.utilization(now, c.replica)
-	if shared := prefixindex.Tokens(req.PrefixBlocks[:max(len(req.PrefixBlocks)-1, 0)]) - c.confirmed - c.predicted; shared > 0 && !home {
-		cost += s.cfg.PrefixMissCost * float64(shared) / 1000
-	}
-	if !r.SameZone {
-		cost += s.cfg.CrossZoneCost + s.cfg.CrossZoneTokenCost*float64(req.TailTokens+prefixindex.Tokens(req.PrefixBlocks))/1000
-	}
-	return cost
-}
-
 // tokensToAnnounce returns the number of uncached tokens that other routers should know of, 0 if none.
 func (s *Scheduler) tokensToAnnounce(req *Request) int {
 	tokens := int(s.uncachedTokens(req, req.ConfirmedTokens, req.PredictedTokens))
--- a/scheduler/prefill_test.go
+++ b/scheduler/prefill_test.go
@@ -101,6 +101,9 @@
 	a := Request{PrefixBlocks: blocks}
 	home := s.home(&a, &s.Services[0])
 	s.Replicas[home].SameZone = false
+	for i := range s.Replicas {
+		s.ReportLoadFromResponse(now, i, 20)
+	}
 	if _, p := sendPrompt(t, s, now, a); p.Replica != home {
 		t.Error("not placed at its home replica")
 	}
@@ -114,6 +117,31 @@
 	}
 }
 
+// TestPrefillIsRepeatedWhereItDelaysNobody lets a request choose between a replica that has its prompt cached, 200 ms
+// later, and one that would prefill it at once. The choice depends on who else waits for the latter, not on the target.
+func TestPrefillIsRepeatedWhereItDelaysNobody(t *testing.T) {
+	for _, target := range []time.Duration{600 * ms, 30 * time.Second} {
+		for _, running := range []int{0, 20} {
+			s := batchingScheduler(t)
+			s.Services[0].Classes[0].FirstTokenTarget, s.Services[0].Classes[0].Timeout = target, time.Minute
+			for i := range s.Replicas {
+				s.Index.SetCapacity(i, 100000)
+				s.ReportLoadFromResponse(now, i, running)
+			}
+			blocks := []prefixindex.Block{{Key: 1, Tokens: 9000}}
+			id, first := sendPrompt(t, s, now, Request{PrefixBlocks: blocks})
+			s.ResponseStarted(now+130*ms, id, first.Attempt)
+			s.EndAttempt(now+140*ms, id, first.Attempt, Completed)
+			s.Tick(now + 140*ms)
+			s.Replicas[first.Replica].prefillQueue.add(now+150*ms, 10000, queuedPrefill{tokens: 20000})
+			_, second := sendPrompt(t, s, now+150*ms, Request{PrefixBlocks: blocks})
+			if repeated := second.Replica != first.Replica; repeated != (running == 0) {
+				t.Errorf("target %v, %d others running: prefilled again %v", target, running, repeated)
+			}
+		}
+	}
+}
+
 func TestSameZoneReplicasArePreferredAtEqualLoad(t *testing.T) {
 	s := queueingScheduler(6, routeClass)
 	s.Replicas[0].SameZone = false
@@ -125,6 +153,27 @@
 	}
 }
 
+// TestOperatorsSetWhatCrossingZonesIsWorth checks the setting against a prefill queue of 100 ms in the router's own zone.
+func TestOperatorsSetWhatCrossingZonesIsWorth(t *testing.T) {
+	for _, c := range []struct {
+		wait, perToken time.Duration
+		crosses        bool
+	}{
+		{0, 0, true},
+		{50 * ms, 0, true},
+		{200 * ms, 0, false},
+		{0, 200 * time.Microsecond, false},
+	} {
+		s := batchingScheduler(t)
+		s.Replicas[1].SameZone = false
+		s.SetCrossZoneWait(c.wait, c.perToken)
+		s.Replicas[0].prefillQueue.add(now, 10000, queuedPrefill{tokens: 10000})
+		if _, p := sendPrompt(t, s, now, Request{TailTokens: 1000}); (p.Replica == 1) != c.crosses {
+			t.Errorf("wait %v and %v per token: crosses zones %v, want %v", c.wait, c.perToken, p.Replica == 1, c.crosses)
+		}
+	}
+}
+
 func TestPromptsFromOtherRoutersCount(t *testing.T) {
 	s := batchingScheduler(t)
 	s.ReportPrefill(now, 0, 40000)
