router: an attempt waits for its tenant's quota as long as its client waits

Seen by callers: with 3 s left a request was rejected after 1 s for a quota whose owner could still answer, with half a second of time left it waited past it; told to come back after 0.5 s although a new owner grants nothing for 2 s. Cause: quotaTimeout, 1 s, knew no deadline; quotaRetryAfter, 0.5 s, no owner's takeover. Change: the wait ends when the request can't be answered before its client leaves (Scheduler.CanStillAnswer), by the same rule as in the queue; Retry-After is quota.TakeoverDelay, which control uses too.

--- a/control/join.go
+++ b/control/join.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/mallowbridge/mallowbridge/quota"
 	"github.com/mallowbridge/mallowbridge/register"
 	"github.com/mallowbridge/mallowbridge/router"
 )
@@ -156,7 +157,7 @@
 	}
 	n.joining.restart(now)
 	n.documents.fetches = nil
-	n.quotas.owner.Reset(now + quotaTakeoverDelay)
+	n.quotas.owner.Reset(now + quota.TakeoverDelay)
 }
 
 func (n *Node) finishJoin(now time.Duration, how string) {
--- a/control/quotas.go
+++ b/control/quotas.go
@@ -15,8 +15,6 @@
 const (
 	// quotaBuild is the first build that answers a QuotaAsk.
 	quotaBuild = 5
-	// quotaTakeoverDelay is how long a new owner of a share grants nothing, until all nodes know that the previous owner lost it.
-	quotaTakeoverDelay = 2 * time.Second
 	// quotaMemory is how long a dead member is counted when a node checks for a majority of its zone's members.
 	quotaMemory = time.Minute
 )
@@ -64,7 +62,7 @@
 	if rule.Window == 0 {
 		rule = quota.DefaultRule()
 	}
-	return quotaState{owner: quota.NewOwner(rule, now+quotaTakeoverDelay), requester: quota.NewRequester(cfg.Seed)}
+	return quotaState{owner: quota.NewOwner(rule, now+quota.TakeoverDelay), requester: quota.NewRequester(cfg.Seed)}
 }
 
 // applyQuotas sets the limits of a configuration.
@@ -192,7 +190,7 @@
 	}
 	if zone := strings.Join(names, ","); zone != n.quotas.owners {
 		n.quotas.owners = zone
-		n.quotas.owner.KeepOwned(now+quotaTakeoverDelay, func(tenant string) bool { return quotaOwner(tenant, members).Name == n.config.Name })
+		n.quotas.owner.KeepOwned(now+quota.TakeoverDelay, func(tenant string) bool { return quotaOwner(tenant, members).Name == n.config.Name })
 	}
 }
 
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -117,6 +117,9 @@
 	RetryAfter, EmptyFor time.Duration
 }
 
+// TakeoverDelay is how long a new owner of a share grants nothing, until all nodes know that the previous owner lost it.
+const TakeoverDelay = 2 * time.Second
+
 // unknownTenantRetry is the time after which a router may ask again about a tenant whose limit this owner does not know.
 // The two then have different configurations.
 const unknownTenantRetry = 100 * time.Millisecond
--- a/router/quotas.go
+++ b/router/quotas.go
@@ -8,11 +8,6 @@
 )
 
 const (
-	// quotaTimeout is the longest time that an attempt waits for its tenant's quota.
-	quotaTimeout = time.Second
-	// quotaRetryAfter is when a client should retry if no owner of its tenant's quota answered.
-	quotaRetryAfter = 500 * time.Millisecond
-
 	reasonOverQuota       = "the tenant's quota is used up"
 	reasonQuotaUnanswered = "no owner of the tenant's quota answers"
 )
@@ -30,7 +25,6 @@
 // quotaWait is an attempt that waits for a grant of its tenant's quota.
 type quotaWait struct {
 	request, attemptID string
-	askedAt            time.Duration
 }
 
 // quotaGate holds back attempts until they are granted their cost from their tenants' quotas.
@@ -64,9 +58,9 @@
 }
 
 // requestGrant queues a request for the cost of an attempt.
-func (g *quotaGate) requestGrant(now time.Duration, live liveRequest, attemptID string) {
+func (g *quotaGate) requestGrant(live liveRequest, attemptID string) {
 	g.lastID++
-	g.waits[g.lastID] = quotaWait{request: live.request, attemptID: attemptID, askedAt: now}
+	g.waits[g.lastID] = quotaWait{request: live.request, attemptID: attemptID}
 	g.requests = append(g.requests, quota.Request{ID: g.lastID, Tenant: live.tenant.Name, Cost: live.cost})
 }
 
@@ -89,7 +83,7 @@
 func (r *Router) readyToSend(now time.Duration, e ReadyToSend) bool {
 	live := r.requests[r.requestIDs[e.Request]]
 	if live.request == e.Request && r.quotas.needsGrant(now, live) {
-		r.quotas.requestGrant(now, live, e.AttemptID)
+		r.quotas.requestGrant(live, e.AttemptID)
 		return true
 	}
 	return r.authorizeSend(now, e.Request, e.AttemptID)
@@ -116,7 +110,7 @@
 		r.requests[id] = request
 		r.readyToSend(now, ReadyToSend{Request: wait.request, AttemptID: wait.attemptID})
 	case e.Unanswered:
-		r.refuseSend(now, wait, reasonQuotaUnanswered, quotaRetryAfter)
+		r.refuseSend(now, wait, reasonQuotaUnanswered, quota.TakeoverDelay)
 	default:
 		if request.tenant != nil {
 			r.quotas.exhaustedUntil[request.tenant.Name] = now + e.EmptyFor
@@ -130,13 +124,15 @@
 	r.withAttempt(wait.request, wait.attemptID, func(id int, attempt uint64) { r.scheduler.RefuseSend(now, id, attempt, reason, retryAfter) })
 }
 
-// expireQuotaWaits rejects the requests that waited for quotaTimeout without a decision on their quota.
+// expireQuotaWaits rejects the requests that could not be answered any more before their clients leave, even if their quota were granted now.
 func (r *Router) expireQuotaWaits(now time.Duration) {
 	for id, wait := range r.quotas.waits {
-		if now-wait.askedAt >= quotaTimeout {
-			delete(r.quotas.waits, id)
-			r.refuseSend(now, wait, reasonQuotaUnanswered, quotaRetryAfter)
+		request, live := r.requestIDs[wait.request]
+		if live && r.scheduler.CanStillAnswer(now, request) {
+			continue
 		}
+		delete(r.quotas.waits, id)
+		r.refuseSend(now, wait, reasonQuotaUnanswered, quota.TakeoverDelay)
 	}
 }
 
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -113,6 +113,12 @@
 	return svc.BaseLatency + time.Duration(uncachedTokens*float64(svc.LatencyPerToken))
 }
 
+// CanStillAnswer reports whether a placed request can be answered before its client leaves, if it is sent now.
+func (s *Scheduler) CanStillAnswer(now time.Duration, id int) bool {
+	req := s.Requests.get(id)
+	return req != nil && now+req.Estimate <= req.clientLeavesAt()
+}
+
 // startTime is when a queued request is expected to be placed, and whether any replica is eligible.
 type startTime struct {
 	at          time.Duration
