proxy: a node that shuts down admits what can end in time, however short its grace period

Seen by callers: with a grace period of 2 s a request that needs 1 s was refused 0.5 s after SIGTERM, though the node runs 1.3 s more. Cause: admission ended at a quarter of the grace period. At 8 s of grace nothing changes. Test: TestShutdownScheduleAdmitsRequestsThatEndInTime, case 'short grace period, as long as the rest of it' fails before.

--- a/proxy/shutdown.go
+++ b/proxy/shutdown.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// maxAdmission bounds how long a process that shuts down still admits requests. The platform checks readiness every second and takes a
-// machine out of service after two failed checks in a row, so new connections keep coming for about that long.
-const maxAdmission = 2 * time.Second
+// admitFor is how long after SIGTERM new requests are still admitted. The platform checks readiness every second and takes a machine out of
+// service after two failed checks in a row, so new connections keep coming for about that long.
+const admitFor = 2 * time.Second
 
 // ShutdownSchedule divides the grace period of a process, the time from SIGTERM until it is killed, into phases.
 type ShutdownSchedule struct {
@@ -12,9 +12,6 @@
 	Grace time.Duration
 }
 
-// AdmitFor returns how long after SIGTERM new requests are still admitted.
-func (s ShutdownSchedule) AdmitFor() time.Duration { return min(s.Grace/4, maxAdmission) }
-
 // LeaveAfter returns how long after SIGTERM the node leaves the fleet, so that other nodes take over its tasks.
 func (s ShutdownSchedule) LeaveAfter() time.Duration { return s.Grace * 3 / 5 }
 
@@ -25,7 +22,7 @@
 // parameter remaining is how long the client still waits for the response; 0 means unknown, and such a request is rejected because it may
 // take any time.
 func (s ShutdownSchedule) Admits(elapsed, remaining time.Duration) bool {
-	return elapsed < s.AdmitFor() && remaining > 0 && elapsed+remaining <= s.ExitAfter()
+	return elapsed < admitFor && remaining > 0 && elapsed+remaining <= s.ExitAfter()
 }
 
 // shutdown is the state of a proxy whose process is shutting down. It is set at most once.
