scheduler: placement counts the requests that follow with a prefix

Cause: the cost counted the callers that run now, not those that come with the same prefix. Change: reading shared tokens anywhere but at a holder or at the prefix's home counts 16 times more (FollowingRequests, in place of HomeBonus, which did the same for the own interface only). One function for both kinds of service.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -94,7 +94,7 @@
 	for _, id := range svc.Replicas {
 		if r := &s.Replicas[id]; r.eligible() && req.compatibleWith(r) {
 			confirmed, predicted := s.Index.Lookup(now, id, req.PrefixBlocks)
-			least = min(least, s.idleEstimate(req, id, s.uncachedTokens(req, confirmed, predicted)))
+			least = min(least, svc.BaseLatency+s.prefillTime(id, s.uncachedTokens(req, confirmed, predicted)))
 		}
 	}
 	if least == math.MaxInt64 {
@@ -104,15 +104,6 @@
 	return least
 }
 
-// idleEstimate returns the expected time to the first token at the replica if it ran nothing else.
-func (s *Scheduler) idleEstimate(req *Request, replica int, uncachedTokens float64) time.Duration {
-	svc := &s.Services[req.Service]
-	if svc.Batches {
-		return svc.BaseLatency + s.prefillTime(replica, uncachedTokens)
-	}
-	return svc.BaseLatency + time.Duration(uncachedTokens*float64(svc.LatencyPerToken))
-}
-
 // CanStillAnswer reports whether a placed request can be answered before its client leaves, if it is sent now.
 func (s *Scheduler) CanStillAnswer(now time.Duration, id int) bool {
 	req := s.Requests.get(id)
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -21,9 +21,9 @@
 	ResponseTimeout time.Duration
 	// PredictedWeight is the fraction, from 0 to 1, of a predicted block's tokens that counts as cached.
 	PredictedWeight float64
-	// HomeBonus is how much cheaper the home replica of a prefix is, as a multiple of the time to prefill its uncached
-	// part.
-	HomeBonus float64
+	// FollowingRequests is the number of requests that are expected to follow with the same prefix, and to be delayed if its
+	// shared blocks are prefilled at a replica that neither has them cached nor is the prefix's home.
+	FollowingRequests float64
 	// AnnounceTokens is the minimum number of uncached prompt tokens at which a placement is announced to the other
 	// routers. AnnounceTokensPerRouter times the number of routers is a second minimum, so that large fleets send fewer
 	// announcements.
@@ -47,7 +47,7 @@
 func Defaults(self, zone string) Config {
 	return Config{
 		Self: self, Zone: zone, QueueLimit: 256, ControlTimeout: time.Second, ResponseTimeout: 8 * time.Second,
-		PredictedWeight: 0.7, HomeBonus: 4,
+		PredictedWeight: 0.7, FollowingRequests: 16,
 		AnnounceTokens: 4000, AnnounceTokensPerRouter: 150,
 		CrossZoneWait: DefaultCrossZoneWait, CrossZoneWaitPerToken: DefaultCrossZoneWaitPerToken, Index: prefixindex.Defaults(),
 	}
--- a/scheduler/cost.go
+++ b/scheduler/cost.go
@@ -21,37 +21,44 @@
 }
 
 // placementCost adds the time to the request's first token, the time by which its prompt delays the requests that run at
-// the replica, and the time that operators would wait to keep its bytes within the zone. At the home replica of its prefix,
-// the shared blocks count as cached, because requests of other routers are sent there too.
+// the replica and those that will follow with the same prefix, and the time that operators would wait to keep its bytes
+// within the zone. At the home replica of its prefix the shared blocks count as cached, because other routers send requests
+// with that prefix there too.
 func (s *Scheduler) placementCost(now time.Duration, req *Request, c choice, home bool) placementCost {
 	svc, r := &s.Services[req.Service], &s.Replicas[c.replica]
 	cost := placementCost{missesTarget: now+c.estimate > req.FirstTokenDue, time: c.estimate}
 	uncached := s.uncachedTokens(req, c.confirmed, c.predicted)
-	switch {
-	case svc.Batches:
-		if home {
-			uncached -= max(float64(sharedTokens(req)-c.confirmed-c.predicted), 0)
-		}
+	shared := float64(max(s.sharedTokens(req)-c.confirmed-c.predicted, 0))
+	if home {
+		uncached, shared = uncached-shared, 0
+	}
+	if svc.Batches {
 		cost.time += time.Duration(s.estimatedLoad(now, c.replica)) * s.prefillTime(c.replica, uncached)
-	case home:
-		missing := prefixindex.Tokens(req.PrefixBlocks) - c.confirmed - c.predicted
-		cost.time -= time.Duration(s.cfg.HomeBonus * float64(missing) * float64(svc.LatencyPerToken))
 	}
+	cost.time += time.Duration(s.cfg.FollowingRequests * float64(s.prefillTime(c.replica, shared)))
 	if !r.SameZone {
 		cost.time += s.crossZoneWait(req)
 	}
 	return cost
 }
 
-// sharedTokens returns the number of tokens that other requests may share: those of all prefix blocks but the last one,
-// which is specific to the request or its session.
-func sharedTokens(req *Request) int {
-	return prefixindex.Tokens(req.PrefixBlocks[:max(len(req.PrefixBlocks)-1, 0)])
+// sharedTokens returns the number of prefix tokens that other requests may share. Where replicas queue, the last of several
+// blocks is specific to the request or its session.
+func (s *Scheduler) sharedTokens(req *Request) int {
+	blocks := req.PrefixBlocks
+	if s.Services[req.Service].Queues && len(blocks) > 0 {
+		blocks = blocks[:len(blocks)-1]
+	}
+	return prefixindex.Tokens(blocks)
 }
 
-// prefillTime returns the time in which a batching replica prefills a prompt.
+// prefillTime returns the time in which an idle replica prefills a prompt.
 func (s *Scheduler) prefillTime(replica int, tokens float64) time.Duration {
-	return time.Duration(prefillWork(tokens) * s.nanosPerToken(replica))
+	svc := &s.Services[s.Replicas[replica].Service]
+	if svc.Batches {
+		return time.Duration(prefillWork(tokens) * s.nanosPerToken(replica))
+	}
+	return time.Duration(tokens * float64(svc.LatencyPerToken))
 }
 
 // crossZoneWait returns how much longer a request may wait to be placed in its own zone.
--- a/scheduler/home.go
+++ b/scheduler/home.go
@@ -7,7 +7,7 @@
 // does not depend on the last of several blocks, because that block is specific to the request.
 func (s *Scheduler) home(req *Request, svc *Service) int {
 	replica := -1
-	if s.cfg.HomeBonus == 0 || s.Index.Disabled || len(req.PrefixBlocks) == 0 {
+	if s.cfg.FollowingRequests == 0 || s.Index.Disabled || len(req.PrefixBlocks) == 0 {
 		return replica
 	}
 	last := len(req.PrefixBlocks) - 1
