--- a/scheduler/refuse_test.go
+++ b/scheduler/refuse_test.go
@@ -30,7 +30,7 @@
 	free := func(*Scheduler) {}
 	for _, c := range []struct {
 		name       string
-		begin      func(t *testing.T, s *Scheduler) (end func())
+		begin      func(t *testing.T, s *Scheduler) func()
 		room       func(s *Scheduler)
 		least, max time.Duration
 	}{
