scheduler: the expected start knows warm-ups and backoffs to their end

Seen (by reading the rule again): at a warming replica of whose starts this router has no share the start was 'now', so a request waited until its client left; a full replica in backoff was expected free before the backoff ends; the requests ahead, which Retry-After goes by, were counted in a list that processQueue is just rewriting. Change: the warm-up's end, the backoff's end, the table of requests. A full queue says so in the reason. Test: TestExpectedStartAtWarmingReplica (before: no rejection at the arrival).

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -38,7 +38,11 @@
 	if !start.anyEligible {
 		return s.awaitRefresh(now, id, req, kept, "no replica is known", refreshInterval)
 	}
-	s.reject(now, id, "no replica can answer before the client leaves", start.at-now)
+	reason := "no replica can answer before the client leaves"
+	if inTime {
+		reason = "queue is full"
+	}
+	s.reject(now, id, reason, start.at-now)
 	return false
 }
 
@@ -127,31 +131,37 @@
 			continue
 		}
 		first.anyEligible = true
-		next, limited := afterQueue+s.replicaQueueTime(now, id), s.warmupLimited(now, id)
+		next := afterQueue + s.replicaQueueTime(now, id)
 		switch {
-		case limited && s.warmupShare(now, id) == 0:
-			continue
-		case limited:
-			next = max(r.nextWarmupStart, now) + time.Duration(queue.ahead)*s.warmupSpacing(now, id)
-		case now < r.BackoffUntil && s.estimatedLoad(now, id) < r.Capacity:
-			next = r.BackoffUntil
+		case s.warmupLimited(now, id):
+			next = s.nextWarmupStart(now, id, queue.ahead)
 		case s.freeSlots(now, id) > queue.ahead:
 			next = now
 		}
-		first.at = min(first.at, next)
+		first.at = min(first.at, max(next, r.BackoffUntil))
 	}
-	if first.at == math.MaxInt64 {
+	if !first.anyEligible {
 		first.at = now
 	}
 	return first
 }
 
+// nextWarmupStart returns when a warming replica may be sent the request behind those ahead: at this router's share of the
+// starts, or after the warm-up if it has none.
+func (s *Scheduler) nextWarmupStart(now time.Duration, replica, ahead int) time.Duration {
+	r := &s.Replicas[replica]
+	if s.warmupShare(now, replica) == 0 {
+		return r.WarmupUntil
+	}
+	return min(max(r.nextWarmupStart, now)+time.Duration(ahead)*s.warmupSpacing(now, replica), r.WarmupUntil)
+}
+
 // timeUntilRoom returns how long it takes until a new request like this one is expected to be placed. It is the RetryAfter of
 // a request that is not placed again itself.
 func (s *Scheduler) timeUntilRoom(now time.Duration, req *Request) time.Duration {
 	queue := s.serviceQueues(now)[req.Service]
-	for _, id := range s.queued {
-		if s.Requests.rows[id].Service == req.Service {
+	for i := range s.Requests.rows {
+		if other := &s.Requests.rows[i]; other.live && other.State == Queued && other.Service == req.Service && other != req {
 			queue.ahead++
 		}
 	}
