scheduler: placement counts the prompts that wait, not the streams that run

Cause: the delay was multiplied by all requests that run at the replica. Their later events may come up to the route's targetGapMs apart (PROTOCOL), so reading beside them costs their callers nothing; who loses are the prompts that wait there for their first token. Change: the delay is multiplied by the prompts in the replica's prefill queue, as known here.

--- a/scheduler/cost.go
+++ b/scheduler/cost.go
@@ -20,7 +20,7 @@
 	return c.time < other.time
 }
 
-// placementCost adds the time to the request's first token, the time by which its prompt delays the requests that run at
+// placementCost adds the time to the request's first token, the time by which its prompt delays the prompts that wait at
 // the replica and those that will follow with the same prefix, and the time that operators would wait to keep its bytes
 // within the zone. At the home replica of its prefix the shared blocks count as cached, because other routers send requests
 // with that prefix there too.
@@ -33,7 +33,7 @@
 		uncached, shared = uncached-shared, 0
 	}
 	if svc.Batches {
-		cost.time += time.Duration(s.estimatedLoad(now, c.replica)) * s.prefillTime(c.replica, uncached)
+		cost.time += time.Duration(len(r.prefillQueue.prompts)) * s.prefillTime(c.replica, uncached)
 	}
 	cost.time += time.Duration(s.cfg.FollowingRequests * float64(s.prefillTime(c.replica, shared)))
 	if !r.SameZone {
