--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -116,27 +116,6 @@
 	}
 }
 
-// retryDirect retries or ends a request without a route whose attempt failed.
-func (s *Scheduler) retryDirect(now time.Duration, id int, req *Request, state State, result AttemptResult) {
-	svc := &s.Services[req.Service]
-	if state == Streaming {
-		s.endPartial(id, req.Attempt, req.Replica)
-		return
-	}
-	req.MayHaveRun = req.MayHaveRun || (state == Sent && result == Failed)
-	if state == Placed || (req.Idempotent && svc.retryBudget.available() && now < req.Deadline) {
-		req.Retry = true
-		s.requeue(now, id, req)
-		return
-	}
-	if req.Idempotent && result == Refused {
-		s.Counters.RetriesRefused++
-		s.reject(now, id, "replica is full", s.timeUntilRoom(now, req))
-		return
-	}
-	s.endUnknown(now, id, req, "replica failed")
-}
-
 // reject ends a request that is abandoned. The final action is Reject if the request certainly did not run, otherwise
 // Partial or Unknown.
 func (s *Scheduler) reject(now time.Duration, id int, reason string, wait time.Duration) {
