control: a request that may run once is denied where no witness is left

Cause, by a trace of its queries: both nodes stood in the zone that was cut off, and held all six witnesses, which stood in the three other zones, for dead: pending [], needed 0, so 0 replies were enough and nobody remembered the first attempt. The quorum falls with the witnesses that live, and had no floor. Change: at least one reply. A router without a live witness denies the request as not run, at once, or when the last one dies while it asks.

--- a/control/witness.go
+++ b/control/witness.go
@@ -12,7 +12,7 @@
 
 const (
 	// witnessCount is the number of witnesses of a request, witnessesPerZone the maximum number of them in one zone, and witnessQuorum
-	// the number of replies that suffice, or fewer if fewer witnesses are live.
+	// the number of replies that suffice, or fewer if fewer witnesses are live, but at least one.
 	witnessCount     = 6
 	witnessesPerZone = 2
 	witnessQuorum    = 4
@@ -130,6 +130,10 @@
 	}
 	a.needed = min(witnessQuorum, len(a.pending))
 	w.inquiries[w.lastQueryID] = a
+	if len(a.pending) == 0 {
+		w.finish(n, a, TooFewReplies)
+		return
+	}
 	a.send(now, n)
 }
 
@@ -199,9 +203,9 @@
 			a.dropDead(n)
 		}
 		switch {
-		case waited >= witnessTimeout && a.replies >= a.needed:
+		case waited >= witnessTimeout && a.replies > 0 && a.replies >= a.needed:
 			w.finish(n, a, NotAskedBefore)
-		case waited >= a.timeout:
+		case waited >= a.timeout, waited >= witnessTimeout && a.replies+len(a.pending) == 0:
 			w.finish(n, a, TooFewReplies)
 		case now-a.sentAt >= witnessResend:
 			a.send(now, n)
--- a/control/witness_test.go
+++ b/control/witness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,8 @@
 	silent  map[string]bool
 	answers map[uint64]Answer
 	asked   uint64
+	// afterAsking, if set, is called once the next query was sent.
+	afterAsking func()
 }
 
 func newWitnessFleet(t *testing.T, size int) *witnessFleet {
@@ -64,6 +67,10 @@
 	f.asked++
 	id, from := f.asked, f.now
 	f.handleOutput(at, f.nodes[at].Step(f.now, Command{ID: id, Op: op}))
+	if f.afterAsking != nil {
+		f.afterAsking()
+		f.afterAsking = nil
+	}
 	for ; f.now-from < 3*time.Second; f.now += 10 * time.Millisecond {
 		if a, ok := f.answers[id]; ok {
 			return WitnessOutcome(a), f.now - from
@@ -159,3 +166,38 @@
 		}
 	}
 }
+
+// TestNothingRunsWithoutAWitness has two routers believe that all witnesses of a request are dead, as those of a zone that is cut
+// off do, from the start or while they ask. Neither may send it: nobody would know of the first attempt.
+func TestNothingRunsWithoutAWitness(t *testing.T) {
+	for _, deadBefore := range []bool{true, false} {
+		f := newWitnessFleet(t, 12)
+		f.now = 11 * time.Minute
+		set := f.nodes["n0"].witnesses("r")
+		var routers []string
+		for name := range f.nodes {
+			if !slices.ContainsFunc(set, func(m membership.Member) bool { return m.Name == name }) {
+				routers = append(routers, name)
+			}
+		}
+		for _, m := range set {
+			f.silent[m.Name] = true
+		}
+		for _, name := range routers[:2] {
+			declareDead := func() {
+				for _, m := range set {
+					m.State = membership.Dead
+					f.nodes[name].Members.Merge(f.now, m)
+				}
+			}
+			if deadBefore {
+				declareDead()
+			} else {
+				f.afterAsking = declareDead
+			}
+			if how, elapsed := f.run(name, Witness{Request: "r", SpareTime: 2 * time.Second}); how != router.NoWitnessQuorum || elapsed > 2*witnessTimeout {
+				t.Errorf("dead before %v: %q after %s, want %q soon", deadBefore, how, elapsed, router.NoWitnessQuorum)
+			}
+		}
+	}
+}
