--- a/control/witness_test.go
+++ b/control/witness_test.go
@@ -174,22 +174,11 @@
 		f := newWitnessFleet(t, 12)
 		f.now = 11 * time.Minute
 		set := f.nodes["n0"].witnesses("r")
-		var routers []string
-		for name := range f.nodes {
-			if !slices.ContainsFunc(set, func(m membership.Member) bool { return m.Name == name }) {
-				routers = append(routers, name)
-			}
-		}
 		for _, m := range set {
 			f.silent[m.Name] = true
 		}
-		for _, name := range routers[:2] {
-			declareDead := func() {
-				for _, m := range set {
-					m.State = membership.Dead
-					f.nodes[name].Members.Merge(f.now, m)
-				}
-			}
+		for _, name := range f.othersThan(set)[:2] {
+			declareDead := func() { f.declareDead(name, set) }
 			if deadBefore {
 				declareDead()
 			} else {
@@ -201,3 +190,22 @@
 		}
 	}
 }
+
+// othersThan returns the names of the nodes that are not members of the set.
+func (f *witnessFleet) othersThan(set []membership.Member) []string {
+	var others []string
+	for name := range f.nodes {
+		if !slices.ContainsFunc(set, func(m membership.Member) bool { return m.Name == name }) {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+// declareDead has one node believe that all members of the set are dead.
+func (f *witnessFleet) declareDead(node string, set []membership.Member) {
+	for _, m := range set {
+		m.State = membership.Dead
+		f.nodes[node].Members.Merge(f.now, m)
+	}
+}
