scheduler: a request overrides a backoff once, so that refusals cannot loop

Cause: the wait rule lets a request that can't wait for the end of a backoff be placed during it, for retries as for first attempts. An attempt that is refused before it is sent draws on neither MaxAttempts nor the retry budget, so the request was placed at the replica that had just refused it again and again, each time at once, until its client left: load on a replica that had asked for none. Change: a request overrides a backoff once; then it is refused as soon as it can't wait. First attempts and retries alike. TestRequestThatCannotWaitIsSentToBackedOffReplicaOnce failed before: a second Place in place of Reject.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -67,8 +67,12 @@
 	return true
 }
 
-// placeDuringBackoff places a request that cannot wait for the end of the replicas' backoffs.
+// placeDuringBackoff places a request that cannot wait for the end of the replicas' backoffs. It does so once a request,
+// because attempts that fail before they are sent are bounded by neither MaxAttempts nor the retry budget.
 func (s *Scheduler) placeDuringBackoff(now time.Duration, id int, req *Request) bool {
+	if req.OverrodeBackoff {
+		return false
+	}
 	c := s.chooseOverflow(now, req, true)
 	if c.replica < 0 || now+c.estimate > req.clientLeavesAt() {
 		return false
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -15,6 +15,7 @@
 	req.Replica, req.PrefillReplica = c.replica, -1
 	req.ConfirmedTokens, req.PredictedTokens = c.confirmed, c.predicted
 	req.Estimate, req.BackoffOverridden = c.estimate, c.backoffOverridden
+	req.OverrodeBackoff = req.OverrodeBackoff || c.backoffOverridden
 	req.Placements++
 	if svc.SplitRoles {
 		req.PrefillReplica, req.ConfirmedTokens, req.PredictedTokens = s.choosePrefillReplica(now, req, svc)
--- a/scheduler/refuse_test.go
+++ b/scheduler/refuse_test.go
@@ -84,3 +84,18 @@
 func hurried(_ *testing.T, s *Scheduler) func() {
 	return func() { s.Arrive(now, Request{ClientTimeout: time.Second}) }
 }
+
+// TestRequestThatCannotWaitIsSentToBackedOffReplicaOnce has the replicas' connection limits refuse each attempt before it is
+// sent, in a service whose backoffs outlast the clients' time. Such attempts draw on no other limit.
+func TestRequestThatCannotWaitIsSentToBackedOffReplicaOnce(t *testing.T) {
+	s := queueingScheduler(8, routeClass)
+	for i := range s.Replicas {
+		s.Replicas[i].BackoffUntil = now + time.Second
+	}
+	id := s.Arrive(now, Request{ClientTimeout: 900 * ms})
+	p := wantActions(t, s.Tick(now), Place)
+	s.EndAttempt(now, id, p.Attempt, Refused)
+	if d := wantActions(t, s.Tick(now), Reject); d.RetryAfter != time.Second {
+		t.Errorf("RetryAfter %v, want 1s: until the backoffs end", d.RetryAfter)
+	}
+}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -58,6 +58,8 @@
 	WeightsRevision string
 	// BackoffOverridden: the replica was chosen although its backoff was in effect.
 	BackoffOverridden bool
+	// OverrodeBackoff: an attempt of the request has overridden a backoff.
+	OverrodeBackoff bool
 	// MayHaveRun: an earlier attempt may have run, so the request must not end as rejected.
 	MayHaveRun bool
 	// WitnessesAgreed: a quorum of witnesses agreed to the sending. WitnessesPolled: they were asked while the request
