scheduler: a node that shuts down lets no request wait until it may serve again

A router that may not serve (it has left, or is out of touch) kept requests for one reading of the list even while its node shut down, though the clients' next attempts reach other nodes (PROTOCOL, How clients arrive). TestNoRequestWaitsDuringShutdownUntilItMayBeServed failed before: no Reject. TestExpectedStartAtWarmingReplica moves to the tests of refusals, unchanged.

--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -83,8 +83,8 @@
 
 // awaitRefresh keeps a request, whose start cannot be predicted, queued for one refreshInterval and then rejects it.
 func (s *Scheduler) awaitRefresh(now time.Duration, id int, req *Request, kept int, reason string, retryAfter time.Duration) bool {
-	refresh := req.QueuedAt + refreshInterval
-	if now < refresh && now+s.leastWork(now, req) <= req.clientLeavesAt() && kept < s.cfg.QueueLimit {
+	mayWait := !s.queueingStopped && now < req.QueuedAt+refreshInterval && kept < s.cfg.QueueLimit
+	if mayWait && now+s.leastWork(now, req) <= req.clientLeavesAt() {
 		return true
 	}
 	s.reject(now, id, reason, retryAfter)
--- a/scheduler/admission_test.go
+++ b/scheduler/admission_test.go
@@ -164,6 +164,18 @@
 	wantActions(t, s.Tick(now+2*ms), Place)
 }
 
+// TestNoRequestWaitsDuringShutdownUntilItMayBeServed is TestNoRequestWaitsDuringShutdown for a router that has left.
+func TestNoRequestWaitsDuringShutdownUntilItMayBeServed(t *testing.T) {
+	s := queueingScheduler(8, routeClass)
+	s.RecordControlContact(now, "node has left")
+	s.Arrive(now, Request{})
+	wantActions(t, s.Tick(now))
+	s.StopQueueing()
+	if d := wantActions(t, s.Tick(now+ms), Reject); d.RetryAfter != MinRetryAfter {
+		t.Errorf("RetryAfter %v, want %v", d.RetryAfter, MinRetryAfter)
+	}
+}
+
 // TestQueueIsOrderedByUrgencyThenDueTime lets requests of three classes wait for one slot. How long one has waited gives
 // it no other place than its due time does.
 func TestQueueIsOrderedByUrgencyThenDueTime(t *testing.T) {
@@ -222,24 +234,3 @@
 		}
 	}
 }
-
-// TestExpectedStartAtWarmingReplica checks that a router without a share of a warming replica's starts expects room when the
-// warm-up ends, and that a backoff delays every start.
-func TestExpectedStartAtWarmingReplica(t *testing.T) {
-	s := warmupScheduler(0, 88)
-	for i := 0; s.warmupShare(10*time.Second, 0) > 0; i++ {
-		s = warmupScheduler(i, 88)
-		s.RecordControlContact(10*time.Second, "")
-	}
-	s.Replicas[0].WarmupUntil = 13 * time.Second
-	s.RecordControlContact(10*time.Second, "")
-	s.Arrive(10*time.Second, Request{})
-	if d := wantActions(t, s.Tick(10*time.Second), Reject); d.RetryAfter != 3*time.Second {
-		t.Errorf("RetryAfter %v, want 3s: until the warm-up ends", d.RetryAfter)
-	}
-	s.Replicas[0].BackoffUntil = 15 * time.Second
-	s.Arrive(10*time.Second, Request{})
-	if d := wantActions(t, s.Tick(10*time.Second), Reject); d.RetryAfter != 5*time.Second {
-		t.Errorf("RetryAfter %v, want 5s: until the backoff ends", d.RetryAfter)
-	}
-}
--- a/scheduler/refuse_test.go
+++ b/scheduler/refuse_test.go
@@ -99,3 +99,24 @@
 		t.Errorf("RetryAfter %v, want 1s: until the backoffs end", d.RetryAfter)
 	}
 }
+
+// TestExpectedStartAtWarmingReplica checks that a router without a share of a warming replica's starts expects room when the
+// warm-up ends, and that a backoff delays every start.
+func TestExpectedStartAtWarmingReplica(t *testing.T) {
+	s := warmupScheduler(0, 88)
+	for i := 0; s.warmupShare(10*time.Second, 0) > 0; i++ {
+		s = warmupScheduler(i, 88)
+		s.RecordControlContact(10*time.Second, "")
+	}
+	s.Replicas[0].WarmupUntil = 13 * time.Second
+	s.RecordControlContact(10*time.Second, "")
+	s.Arrive(10*time.Second, Request{})
+	if d := wantActions(t, s.Tick(10*time.Second), Reject); d.RetryAfter != 3*time.Second {
+		t.Errorf("RetryAfter %v, want 3s: until the warm-up ends", d.RetryAfter)
+	}
+	s.Replicas[0].BackoffUntil = 15 * time.Second
+	s.Arrive(10*time.Second, Request{})
+	if d := wantActions(t, s.Tick(10*time.Second), Reject); d.RetryAfter != 5*time.Second {
+		t.Errorf("RetryAfter %v, want 5s: until the backoff ends", d.RetryAfter)
+	}
+}
