--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -54,6 +54,7 @@
 	s.Replicas[req.Replica].attemptDelayed(req.PlacedAt, now)
 	req.PlacedAt = now
 	if class.routed() {
+		// Only retries draw on the retry budget (RULES, BUDGET).
 		req.Retry = req.Sends > 0
 	}
 	valid := s.NotServingReason(now) == "" && s.placementValid(now, req) && !class.Removed
--- a/scheduler/cost.go
+++ b/scheduler/cost.go
@@ -6,8 +6,8 @@
 	"github.com/mallowbridge/mallowbridge/prefixindex"
 )
 
-// placementCost is what it costs callers to place a request at a replica: whether its first token misses its target, and
-// otherwise the time that it and the other requests there lose.
+// placementCost is what it costs callers to place a request at a replica: whether its first token misses its target, within
+// which operators want it (PROTOCOL, Requests), and otherwise the time that it and other requests lose.
 type placementCost struct {
 	missesTarget bool
 	time         time.Duration
@@ -61,7 +61,8 @@
 	return time.Duration(tokens * float64(svc.LatencyPerToken))
 }
 
-// crossZoneWait returns how much longer a request may wait to be placed in its own zone.
+// crossZoneWait returns how much longer a request may wait to be placed in its own zone, as operators set it: in the
+// configuration, in units of the first-token target, or for routes by flags.
 func (s *Scheduler) crossZoneWait(req *Request) time.Duration {
 	svc := &s.Services[req.Service]
 	class := &svc.Classes[req.Class]
--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -129,6 +129,7 @@
 		return
 	}
 	class := &s.Services[req.Service].Classes[req.Class]
+	// This only counts: a client that was let wait has lost that time, one that is rejected at its arrival has not.
 	late := req.Waited || req.Placements > 0
 	if late {
 		s.Counters.RejectedLate++
--- a/scheduler/overflow.go
+++ b/scheduler/overflow.go
@@ -41,5 +41,6 @@
 	return false
 }
 
-// queueMargin returns how many requests beyond its capacity a queueing replica may be sent.
+// queueMargin returns how many requests beyond its capacity a queueing replica may be sent: it queues a few (PROTOCOL,
+// Replicas).
 func queueMargin(capacity int) int { return max(2, capacity/4) }
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -85,7 +85,7 @@
 }
 
 // clientLeavesAt returns when the client stops waiting for the next part of the response: at the deadline, or earlier if
-// it ends streams that stay silent.
+// it ends streams that stay silent (PROTOCOL, Requests).
 func (req *Request) clientLeavesAt() time.Duration {
 	if req.SilenceTimeout == 0 {
 		return req.Deadline
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -171,6 +171,7 @@
 	req.SilenceTimeout, req.SilentSince = class.SilenceTimeout, now
 	req.urgency = class.Value * class.Urgency
 	req.FirstTokenDue = now + class.FirstTokenTarget
+	// Without a route the class promises that a request starts by then (BRIEF, The product), so it is not placed later.
 	req.Deadline = req.FirstTokenDue
 	if class.routed() {
 		req.Deadline = now + class.Timeout
