--- a/router/decisions.go
+++ b/router/decisions.go
@@ -65,7 +65,7 @@
 	if entry.discovered {
 		d.Instance = entry.instance
 	}
-	d.Resumes, d.UncachedTokens = a.Resumes, a.UncachedTokens
+	d.Resumes, d.UncachedTokens, d.Priority = a.Resumes, a.UncachedTokens, a.Priority
 	service := &r.scheduler.Services[r.scheduler.Replicas[a.Replica].Service]
 	d.MaxConns = r.scheduler.RouterShare(routerConnShare * float64(service.MaxConns))
 	live := r.requests[a.Request]
@@ -73,10 +73,13 @@
 	if d.Route == nil {
 		return
 	}
-	d.Deadline, d.Priority = a.Deadline, live.tenant.PriorityOf(d.Route)
+	d.Deadline = a.Deadline
 	if live.tenant != nil {
 		d.Tenant = live.tenant.Name
 	}
+	if d.Priority < 0 {
+		d.Priority = live.tenant.PriorityOf(d.Route)
+	}
 }
 
 // verdicts contains the verdict for each kind of scheduler action that leads to a decision.
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -54,6 +54,9 @@
 	Deadline time.Duration
 	// Resumes marks an attempt that continues a stream after the last event that reached the client.
 	Resumes bool
+	// Priority is the prompt's priority in the replica's prefill queue: 0 is read first. It is -1 where replicas do not
+	// batch.
+	Priority int
 	// UncachedTokens is the estimated number of prompt tokens that the replica must prefill. It is 0 unless the prompt
 	// is long enough to be announced to other routers.
 	UncachedTokens int
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -22,14 +22,14 @@
 	}
 	s.Replicas[c.replica].attemptStarted(now)
 	s.reserveWarmupStart(now, c.replica)
-	s.queuePrefill(now, req)
+	priority := s.queuePrefill(now, req)
 	s.Index.Predict(now, s.prefixReplica(req), req.Attempt, req.PrefixBlocks)
 	s.nextDeadline = min(s.nextDeadline, req.Deadline)
 	s.countPlacement(req)
 	s.emit(Action{
 		Kind: Place, Request: id, Attempt: req.Attempt, Replica: req.Replica, PrefillReplica: req.PrefillReplica,
 		ConfirmedTokens: req.ConfirmedTokens, PredictedTokens: req.PredictedTokens, NeedsWitnesses: !req.needsNoWitnesses(s),
-		SpareTime: max(req.FirstTokenDue-now-req.Estimate, 0), Deadline: req.Deadline, Resumes: req.Resume, UncachedTokens: s.tokensToAnnounce(req),
+		SpareTime: max(req.FirstTokenDue-now-req.Estimate, 0), Deadline: req.Deadline, Resumes: req.Resume, Priority: priority, UncachedTokens: s.tokensToAnnounce(req),
 	})
 }
 
--- a/scheduler/prefill.go
+++ b/scheduler/prefill.go
@@ -9,31 +9,48 @@
 
 // queuedPrefill is a prompt that a batching replica has not prefilled completely, to this router's knowledge.
 type queuedPrefill struct {
-	attempt uint64
-	tokens  float64
+	attempt  uint64
+	tokens   float64
+	priority int
 }
 
-// prefillQueue holds queued prompts in the order in which they were sent, in which the replica is expected to prefill them.
-// Prompts of other routers have attempt 0.
+// prefillQueue holds queued prompts in the order in which the replica prefills them. Prompts of other routers have
+// attempt 0.
 type prefillQueue struct {
 	prompts   []queuedPrefill
 	drainedAt time.Duration
 }
 
 const (
-	// leastMeasuredPrompt is the length in tokens from which on the time to the first event tells the prefill speed.
-	leastMeasuredPrompt = 1500
+	// prefillPriorities is the number of priorities, and shortestPrompt the maximum length in tokens of the first one.
+	prefillPriorities = 10
+	shortestPrompt    = 750
 	// quadraticTokens is the prompt length at which the quadratic cost of attention doubles the average cost of a token.
 	quadraticTokens = 110000
 )
 
+// prefillPriority returns a prompt's priority, 0 being the first to be prefilled. Each priority covers prompts up to
+// twice as long as the one before: the prompt with the least work left goes first, because behind a long one it would
+// outlast its client's time.
+func prefillPriority(tokens float64) int {
+	var priority int
+	for maxTokens := float64(shortestPrompt); tokens > maxTokens && priority < prefillPriorities-1; maxTokens *= 2 {
+		priority++
+	}
+	return priority
+}
+
 // prefillWork returns the cost of prefilling a prompt, in tokens of a short prompt. It grows faster than the length,
 // since a token takes longer the more tokens precede it.
 func prefillWork(tokens float64) float64 { return tokens * (1 + tokens/quadraticTokens) }
 
 func (p *prefillQueue) add(now time.Duration, nanosPerToken float64, prompt queuedPrefill) {
 	p.drain(now, nanosPerToken)
-	p.prompts = append(p.prompts, prompt)
+	at := len(p.prompts)
+	for at > 0 && p.prompts[at-1].priority > prompt.priority {
+		at--
+	}
+	p.prompts = slices.Insert(p.prompts, at, prompt)
 }
 
 // drain subtracts what the replica has prefilled since the last call, which takes nanosPerToken per token.
@@ -52,7 +69,8 @@
 	p.prompts = slices.DeleteFunc(p.prompts, func(f queuedPrefill) bool { return f.attempt == attempt })
 }
 
-// remaining returns the tokens left in the queue.
+// remaining returns the tokens left in the queue. It includes longer prompts, because a prompt whose prefill has started
+// is not preempted by a shorter one.
 func (p *prefillQueue) remaining() float64 {
 	var tokens float64
 	for _, f := range p.prompts {
@@ -83,15 +101,18 @@
 	return s.Services[r.Service].BaseLatency + time.Duration(prefillTime)
 }
 
-// queuePrefill adds the prompt to the prefill queue of a batching replica.
-func (s *Scheduler) queuePrefill(now time.Duration, req *Request) {
+// queuePrefill adds the prompt to the prefill queue of a batching replica and returns its priority, or -1 where replicas
+// do not batch.
+func (s *Scheduler) queuePrefill(now time.Duration, req *Request) int {
 	r := &s.Replicas[req.Replica]
 	if !s.Services[req.Service].Batches {
-		return
+		return -1
 	}
 	tokens := s.uncachedTokens(req, req.ConfirmedTokens, req.PredictedTokens)
+	priority := prefillPriority(tokens)
 	req.PrefillQueueEmpty = len(r.prefillQueue.prompts) == 0
-	r.prefillQueue.add(now, s.nanosPerToken(req.Replica), queuedPrefill{attempt: req.Attempt, tokens: prefillWork(tokens)})
+	r.prefillQueue.add(now, s.nanosPerToken(req.Replica), queuedPrefill{attempt: req.Attempt, tokens: prefillWork(tokens), priority: priority})
+	return priority
 }
 
 // prefillSpeedStep is the factor by which one response changes the measured prefill speed.
@@ -108,7 +129,7 @@
 		s.Index.DropBlocks(s.prefixReplica(req), req.PrefixBlocks)
 		return
 	}
-	if s.uncachedTokens(req, req.ConfirmedTokens, req.PredictedTokens) < leastMeasuredPrompt {
+	if s.uncachedTokens(req, req.ConfirmedTokens, req.PredictedTokens) < 2*shortestPrompt {
 		return
 	}
 	step := prefillSpeedStep
@@ -123,7 +144,7 @@
 // batchPrefixEvicted reports whether blocks that were thought to be cached had to be prefilled again: the response took
 // as long to start as without them.
 func (s *Scheduler) batchPrefixEvicted(req *Request, elapsed time.Duration) bool {
-	if req.ConfirmedTokens < leastMeasuredPrompt || req.PredictedTokens > 0 {
+	if req.ConfirmedTokens < 2*shortestPrompt || req.PredictedTokens > 0 {
 		return false
 	}
 	uncachedTime := time.Duration(prefillWork(s.uncachedTokens(req, 0, 0)) * s.nanosPerToken(req.Replica))
@@ -142,5 +163,5 @@
 
 // ReportPrefill records that another router sent a prompt to the replica. tokens is the number of its uncached tokens.
 func (s *Scheduler) ReportPrefill(now time.Duration, replica int, tokens float64) {
-	s.Replicas[replica].prefillQueue.add(now, s.nanosPerToken(replica), queuedPrefill{tokens: prefillWork(tokens)})
+	s.Replicas[replica].prefillQueue.add(now, s.nanosPerToken(replica), queuedPrefill{tokens: prefillWork(tokens), priority: prefillPriority(tokens)})
 }
