router: a node without a configuration asks clients to come back after 1 s

Nodes that are back and have no configuration refused each request at once with Retry-After 10 ms, so clients used up their tries while no node could serve them. Cause: gave all refusals whose reason is this node 10 ms, as the next attempt reaches another node. When this one will have a configuration isn't known, and after a loss of power the others have none either. Change: Retry-After is one reading of the list, 1 s, as where no replica is known; clients heed a third of the time they have left at most (PROTOCOL). TestRouterWithoutSnapshotRejects asserts it now, too, and failed before (10 ms), for both interfaces.

--- a/router/arrive.go
+++ b/router/arrive.go
@@ -12,10 +12,10 @@
 // arrive passes a new request to the scheduler. It returns true and a decision if the request is rejected at once.
 func (r *Router) arrive(now time.Duration, e Arrival) (Decision, bool) {
 	if r.snapshot == nil {
-		return e.rejected("no configuration yet", false), true
+		return e.unconfigured(), true
 	}
 	if _, running := r.requestIDs[e.Request]; running {
-		return e.rejected(reasonAlreadyRunning, true), true
+		return e.duplicate(reasonAlreadyRunning), true
 	}
 	if e.Service == "" {
 		return r.arriveRouted(now, e)
@@ -35,7 +35,7 @@
 		return e.invalid("no such kind"), true
 	}
 	if !row.Classes[class].Idempotent && r.alreadyRan.has(now, e.Request) {
-		return e.rejected(scheduler.AlreadyRan, true), true
+		return e.duplicate(scheduler.AlreadyRan), true
 	}
 	blocks, err := prefixindex.Parse(r.model(e.Service), e.Prefix)
 	if err != nil {
@@ -87,10 +87,15 @@
 	r.requests[id] = live
 }
 
-// rejected returns a rejection of a request that was not run here, or that is a repeat of one that was. Other routers can
-// take a request that was not run.
-func (e Arrival) rejected(reason string, repeat bool) Decision {
-	return Decision{Verdict: Reject, Request: e.Request, Reason: reason, RetryAfter: scheduler.MinRetryAfter, Duplicate: repeat}
+// duplicate returns a rejection of a request that is a repeat of one that runs or ran here.
+func (e Arrival) duplicate(reason string) Decision {
+	return Decision{Verdict: Reject, Request: e.Request, Reason: reason, RetryAfter: scheduler.MinRetryAfter, Duplicate: true}
+}
+
+// unconfigured returns a rejection by a router that has just started and has no configuration. When it will is not known,
+// and after a loss of power the other routers have none either, so the client waits as for a list of replicas.
+func (e Arrival) unconfigured() Decision {
+	return Decision{Verdict: Reject, Request: e.Request, Reason: "no configuration yet", RetryAfter: scheduler.RefreshInterval}
 }
 
 // invalid returns a rejection of a request that cannot be served because of what it asks for.
--- a/router/loop.go
+++ b/router/loop.go
@@ -126,7 +126,7 @@
 // subscribe records the channel of a request's decisions. It rejects the request if one with the same ID is running.
 func (l *Loop) subscribe(e Arrival, decisions chan Decision) bool {
 	if l.subscribers[e.Request] != nil {
-		decisions <- e.rejected(reasonAlreadyRunning, true)
+		decisions <- e.duplicate(reasonAlreadyRunning)
 		close(decisions)
 		return false
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -87,11 +87,15 @@
 	}
 }
 
+// TestRouterWithoutSnapshotRejects checks that the rejection is not final, since other nodes may have a configuration, and that clients don't
+// use up their attempts at once: after a loss of power no node has one.
 func TestRouterWithoutSnapshotRejects(t *testing.T) {
 	r := router.New(router.Defaults("n1", "b", "a"))
-	ds := r.Step(convergeTime, router.Arrival{Request: "q1", Service: "o", Class: "k"})
-	if len(ds) != 1 || ds[0].Verdict != router.Reject || ds[0].Invalid {
-		t.Errorf("%+v, want a rejection that is not final: other nodes may have a configuration", ds)
+	for _, arrival := range []router.Arrival{{Request: "q1", Service: "o", Class: "k"}, {Request: "q2", Host: "h.example", Path: "/a/x"}} {
+		d := onlyDecision(t, r.Step(convergeTime, arrival), router.Reject)
+		if d.Invalid || d.RetryAfter != time.Second {
+			t.Errorf("%+v, want a rejection that is not final, and a RetryAfter of 1s", d)
+		}
 	}
 }
 
--- a/scheduler/admission.go
+++ b/scheduler/admission.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// refreshInterval is how often the platform's list of replicas is read. While no replica is known, or the control plane
+// RefreshInterval is how often the platform's list of replicas is read. While no replica is known, or the control plane
 // does not allow requests to be served, a request waits for one more reading.
-const refreshInterval = time.Second
+const RefreshInterval = time.Second
 
 // admit places a queued request, keeps it queued or rejects it, by the rule in docs/design.md: it waits as long as it can
 // still be answered before its client leaves. First attempts and retries are treated alike.
@@ -36,7 +36,7 @@
 		return false
 	}
 	if !start.anyEligible {
-		return s.awaitRefresh(now, id, req, kept, "no replica is known", refreshInterval)
+		return s.awaitRefresh(now, id, req, kept, "no replica is known", RefreshInterval)
 	}
 	reason := "no replica can answer before the client leaves"
 	if inTime {
@@ -81,9 +81,9 @@
 	return true
 }
 
-// awaitRefresh keeps a request, whose start cannot be predicted, queued for one refreshInterval and then rejects it.
+// awaitRefresh keeps a request, whose start cannot be predicted, queued for one RefreshInterval and then rejects it.
 func (s *Scheduler) awaitRefresh(now time.Duration, id int, req *Request, kept int, reason string, retryAfter time.Duration) bool {
-	mayWait := !s.queueingStopped && now < req.QueuedAt+refreshInterval && kept < s.cfg.QueueLimit
+	mayWait := !s.queueingStopped && now < req.QueuedAt+RefreshInterval && kept < s.cfg.QueueLimit
 	if mayWait && now+s.leastWork(now, req) <= req.clientLeavesAt() {
 		return true
 	}
@@ -171,7 +171,7 @@
 	}
 	start := s.expectedStart(now, req, queue)
 	if !start.anyEligible {
-		return refreshInterval
+		return RefreshInterval
 	}
 	return start.at - now
 }
