scheduler: an attempt that was never sent makes the next one no retry

Callers of the own interface saw "retry budget is spent" for a request that no replica had been sent: its first attempt failed to connect, and the next counted as a retry. Cause: retryDirect set Retry for attempts that ended as placed; routed requests went by Sends already. TestRequestThatWasNeverSentDrawsOnNoRetryBudget (both interfaces) failed before: Reject in place of Send.

--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -65,7 +65,7 @@
 	}
 	req.MayHaveRun = req.MayHaveRun || (state == Sent && result == Failed)
 	if state == Placed || (req.Idempotent && svc.retryBudget.available() && now < req.Deadline) {
-		req.Retry = true
+		req.Retry = req.Retry || state != Placed
 		s.requeue(now, id, req)
 		return
 	}
--- a/scheduler/secondattempt_test.go
+++ b/scheduler/secondattempt_test.go
@@ -122,3 +122,19 @@
 		t.Errorf("request %+v, want state Sent", req)
 	}
 }
+
+// TestRequestThatWasNeverSentDrawsOnNoRetryBudget has a first attempt fail before it is sent, with the retry budget spent, on both
+// interfaces. The next attempt is the first to be sent (RULES, BUDGET).
+func TestRequestThatWasNeverSentDrawsOnNoRetryBudget(t *testing.T) {
+	direct := RequestClass{Value: 1, Urgency: 1, FirstTokenTarget: 800 * ms, Idempotent: true}
+	for _, class := range []RequestClass{direct, routeClass} {
+		s := newTestScheduler(8, class)
+		id := s.Arrive(now, Request{})
+		first := wantActions(t, s.Tick(now), Place)
+		s.EndAttempt(now, id, first.Attempt, NotSent)
+		s.Services[0].retryBudget.tokens = 0
+		second := wantActions(t, s.Tick(now), Place)
+		s.AuthorizeSend(now, id, second.Attempt)
+		wantActions(t, s.Tick(now), Send)
+	}
+}
