--- a/review/standin-2/allkilled.go
+++ b/review/standin-2/allkilled.go
@@ -25,15 +25,9 @@
 		return couldntGo, "the first configuration was not acknowledged"
 	}
 	seeds, running := []int{3, 4, 5}, []int{0, 1, 2, 6, 7}
-	for i, m := range f.machines {
-		m.firstStart = false
-		m.seeds = []string{f.controlAddr(seeds[0]), f.controlAddr(seeds[1]), f.controlAddr(seeds[2])}
-		if err := f.writeSettings(i); err != nil {
-			return couldntGo, err.Error()
-		}
-		_ = m.process.Process.Signal(syscall.SIGHUP)
+	if err := f.nameSeeds(seeds); err != nil {
+		return couldntGo, err.Error()
 	}
-	f.rec.note("settings name %s, %s, %s as seeds; SIGHUP", f.machines[3].name, f.machines[4].name, f.machines[5].name)
 	time.Sleep(2 * time.Second)
 	if _, status := f.put(1, 2, document(2), running, 20*time.Second); status != 200 {
 		return couldntGo, "the second configuration was not acknowledged"
@@ -43,20 +37,8 @@
 			f.kill(i)
 		}
 		time.Sleep(5 * time.Second)
-		var all sync.WaitGroup
-		for _, i := range running {
-			all.Add(1)
-			go func() {
-				defer all.Done()
-				f.kill(i)
-			}()
-		}
-		all.Wait()
-		time.Sleep(500 * time.Millisecond)
-		for _, i := range running {
-			if err := f.start(i); err != nil {
-				return couldntGo, err.Error()
-			}
+		if err := f.restartAtOnce(running); err != nil {
+			return couldntGo, err.Error()
 		}
 	}
 	time.Sleep(20 * time.Second)
@@ -65,3 +47,40 @@
 	}
 	return held, "the acknowledged configuration was read back"
 }
+
+// nameSeeds writes settings that name other seeds, and tells all machines.
+func (f *fleet) nameSeeds(seeds []int) error {
+	var addrs []string
+	for _, i := range seeds {
+		addrs = append(addrs, f.controlAddr(i))
+	}
+	for i, m := range f.machines {
+		m.firstStart, m.seeds = false, addrs
+		if err := f.writeSettings(i); err != nil {
+			return err
+		}
+		_ = m.process.Process.Signal(syscall.SIGHUP)
+	}
+	f.rec.note("settings name %v as seeds; SIGHUP", addrs)
+	return nil
+}
+
+// restartAtOnce kills machines at the same moment and starts them half a second later.
+func (f *fleet) restartAtOnce(machines []int) error {
+	var all sync.WaitGroup
+	for _, i := range machines {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			f.kill(i)
+		}()
+	}
+	all.Wait()
+	time.Sleep(500 * time.Millisecond)
+	for _, i := range machines {
+		if err := f.start(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
