Chunks: a silent source is remembered, and a fetch asks further members

Seen: a document reaches a node late where the machines that it asks for chunks are alive for others but don't answer it. Cause: a fetch waited 400 ms for each silent source in a fixed order, began at the first one again with each message, and each node on the document's way paid that anew. A fetch whose only source was silent asked it for ever. Change: a source that did not reply is asked after all others for 4 s, by all fetches; after a silence a sender of the document goes first, which has it; a fetch whose sources are all silent asks one more member after each silence.

--- a/control/chunks.go
+++ b/control/chunks.go
@@ -39,17 +39,19 @@
 func (ChunkData) Since() uint32 { return chunksBuild }
 
 // documents contains stored chunks, the fetches in progress and the builds of other nodes as they last reported them, by address. offered
-// is the value that this node proposed last; requestedAt is when each missing chunk was requested.
+// is the value that this node proposed last; requestedAt is when each missing chunk was requested; silentUntil is until when a source that
+// did not reply is asked after all others.
 type documents struct {
 	store       *chunk.Store
 	offered     *register.Value
 	fetches     []*fetch
 	requestedAt map[chunk.Name]time.Duration
 	builds      map[string]uint32
+	silentUntil map[string]time.Duration
 }
 
 func newDocuments() documents {
-	return documents{store: chunk.NewStore(keptDocuments, keptBodies, keptBytes), requestedAt: map[chunk.Name]time.Duration{}, builds: map[string]uint32{}}
+	return documents{store: chunk.NewStore(keptDocuments, keptBodies, keptBytes), requestedAt: map[chunk.Name]time.Duration{}, builds: map[string]uint32{}, silentUntil: map[string]time.Duration{}}
 }
 
 // stripDocuments returns the value with manifests in place of a large document and large order logs.
--- a/control/chunksmixed_test.go
+++ b/control/chunksmixed_test.go
@@ -131,11 +131,16 @@
 	l.untilApplied(next, applyWithin)
 }
 
+// chunkSourceSeeds is the number of seeds of TestNextChunkSourceIsAskedInTurn.
+const chunkSourceSeeds = 16
+
 // TestNextChunkSourceIsAskedInTurn checks that machines with a disk are asked first and that the node that announced the document is asked
-// if they do not reply or do not have the chunks.
+// if they do not reply or do not have the chunks. It also guards against nodes that wait for each silent source again and again while the
+// document spreads from node to node.
 func TestNextChunkSourceIsAskedInTurn(t *testing.T) {
-	for _, how := range []string{"silent", "without chunks"} {
-		l := newLab(t, 18)
+	for run := range 2 * chunkSourceSeeds {
+		how := []string{"silent", "without chunks"}[run%2]
+		l := newSizedLab(t, fleetShape{nodes: 18, zones: 3, disks: 4, tolerate: 1}, uint64(run/2))
 		l.run(6 * time.Second)
 		asked := 0
 		l.sent = func(from, to string, msg any) bool {
--- a/control/fetch.go
+++ b/control/fetch.go
@@ -2,12 +2,11 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/chunk"
-	"github.com/mallowbridge/mallowbridge/gossip"
-	"github.com/mallowbridge/mallowbridge/membership"
 	"github.com/mallowbridge/mallowbridge/register"
 )
 
@@ -19,8 +18,10 @@
 	// maxNearPull is the maximum number of missing segments for which the sender of the announcement is asked alone, if it is near. For
 	// more, the machines with a disk in this node's zone are asked first.
 	maxNearPull = 2
-	// pullRetryAfter is how long to wait for a reply before the next source is asked.
+	// pullRetryAfter is how long to wait for a reply before the next source is asked. A source that did not reply is asked after all others
+	// for silentFor: it may be alive for others but unreachable from here.
 	pullRetryAfter = 400 * time.Millisecond
+	silentFor      = 4 * time.Second
 	// fetchTimeout, maxFetches and maxPendingMessages bound how long messages wait for chunks, for how many documents, and how many
 	// messages wait for each.
 	fetchTimeout       = 4 * time.Second
@@ -28,13 +29,19 @@
 	maxPendingMessages = 32
 )
 
-// fetch is a document whose chunks are being fetched, with the messages that wait for it. current is the index of the source that is asked
-// now, missing the number of chunks missing, and progressAt when the last of them arrived or the source last changed.
+// fetch is a document whose chunks are being fetched, with the messages that wait for it. missing is the number of chunks missing, and
+// progressAt when the last of them arrived or the source last changed.
 type fetch struct {
-	manifest   *chunk.Manifest
-	pending    []Received
-	sources    []string
-	current    int
+	manifest *chunk.Manifest
+	pending  []Received
+	// sources are the nodes that may have the chunks, in the order in which to ask them; senders are those that sent a message with the
+	// document and so have it. lacking are the sources that replied that they do not have a chunk.
+	sources []string
+	senders []string
+	lacking []string
+	// current is the source that was asked last. sawSilence is set once a source did not reply.
+	current    string
+	sawSilence bool
 	missing    int
 	startedAt  time.Duration
 	progressAt time.Duration
@@ -54,50 +61,19 @@
 	if waits && len(f.pending) < maxPendingMessages {
 		f.pending = append(f.pending, r)
 	}
+	f.addSender(r.From)
 	f.addSources(n.sources(r, len(missing)))
 	n.pull(now, f, missing)
 }
 
-// addSources adds the sources named by a later message. They go before the known ones if the message names another first source.
-func (f *fetch) addSources(sources []string) {
-	first, rest := sources, f.sources
-	if len(rest) > 0 && rest[0] == first[0] {
-		first, rest = rest, first
-	}
-	for _, source := range rest {
-		if !slices.Contains(first, source) {
-			first = append(first, source)
-		}
-	}
-	if len(f.sources) == 0 || f.sources[0] != first[0] {
-		f.current = 0
-	}
-	f.sources = first
-}
-
-// sources returns the nodes that may have the chunks of a message, in the order in which to ask them. The sender has them. If the sender is
-// in another zone, or many chunks are missing, machines with a disk in this node's zone are asked first: they may have the chunks because
-// they voted for the value.
-func (n *Node) sources(r Received, missing int) []string {
-	_, gossiped := r.Msg.(gossip.Update)
-	if !gossiped || (missing <= maxNearPull && n.near(r.From)) {
-		return []string{r.From}
-	}
-	var addrs []string
-	for _, m := range n.Members.Table.All() {
-		if m.Disk != "" && m.Name != n.config.Name && m.Zone == n.config.Zone && m.State == membership.Alive && n.buildOf(m.Addr) >= chunksBuild {
-			addrs = append(addrs, m.Addr)
-		}
-	}
-	return append(addrs, r.From)
-}
-
-// pull requests the missing chunks that are not already requested from the fetch's current source.
+// pull requests the missing chunks from the fetch's next source, except those that were requested shortly before and may still arrive.
 func (n *Node) pull(now time.Duration, f *fetch, missing []chunk.Name) {
+	source := n.nextSource(now, f)
+	mayArrive := source == f.current || !f.sawSilence
 	var names []byte
 	for _, name := range missing {
 		since, requested := n.documents.requestedAt[name]
-		if requested && now-since < pullRetryAfter {
+		if requested && mayArrive && now-since < pullRetryAfter {
 			continue
 		}
 		n.documents.requestedAt[name] = now
@@ -107,7 +83,8 @@
 		}
 	}
 	if len(names) > 0 {
-		n.send(f.sources[f.current], ChunkPull{Names: names})
+		f.current = source
+		n.send(source, ChunkPull{Names: names})
 	}
 }
 
@@ -142,6 +119,7 @@
 }
 
 func (n *Node) onChunkData(now time.Duration, from string, m ChunkData) {
+	delete(n.documents.silentUntil, from)
 	for _, data := range m.Chunks {
 		delete(n.documents.requestedAt, chunk.NameOf(data))
 		n.documents.store.Put(data)
@@ -155,10 +133,10 @@
 		if len(missing) < f.missing {
 			f.missing, f.progressAt = len(missing), now
 		}
-		if f.sources[f.current] == from && slices.ContainsFunc(missing, func(name chunk.Name) bool { return missingAtSender[name] }) {
-			f.current++
+		if slices.ContainsFunc(missing, func(name chunk.Name) bool { return missingAtSender[name] }) {
+			f.lacking = append(f.lacking, from)
 		}
-		return f.current < len(f.sources)
+		return n.nextSource(now, f) != ""
 	})
 }
 
@@ -166,10 +144,15 @@
 func (n *Node) tickFetches(now time.Duration) {
 	n.advance(now, func(f *fetch, _ []chunk.Name) bool {
 		if now-f.progressAt >= pullRetryAfter {
-			f.current, f.progressAt = (f.current+1)%len(f.sources), now
+			n.documents.silentUntil[f.current] = now + silentFor
+			f.sawSilence, f.progressAt = true, now
+			if n.documents.silentUntil[n.nextSource(now, f)] > now {
+				n.addFurtherSource(f)
+			}
 		}
 		return now-f.startedAt < fetchTimeout
 	})
+	maps.DeleteFunc(n.documents.silentUntil, func(_ string, until time.Duration) bool { return now >= until })
 	for name, since := range n.documents.requestedAt {
 		if now-since >= fetchTimeout {
 			delete(n.documents.requestedAt, name)
