Singleton roles: members take turns while the work is due, voters and leases included

Cause: one node did the work for all by its rank among the alive members. Alive is who any member reaches; changing the voters and getting a lease need a majority of the voters. While work stays due, the alive members have turns in the order of their rank, then the first again. Where the work needs voters, voters rank first, so that within the fault tolerance a turn comes to one that reaches a majority, however many other machines are cut off. The lease of a zone's checks and of the list is sought as long as no work is done under it: reports and confirmations say so (Unleased). A node whose turn ended gives back what a minority granted; a holder that can't read the list twice gives the lease up. Tests: TestNodeThatChangesVotersDies stopped a changing node without a disk; voters change voters now, so it stops two voters of five instead of one of three. TestWipedVotersAreReplacedBeforeTheNextLoss failed only if two conditions met where each alone is wrong; it now wants exactly the three machines' present disks.

--- a/control/catchup_test.go
+++ b/control/catchup_test.go
@@ -60,21 +60,26 @@
 	r.t.Errorf("%s has not applied %s after %s", name, want, most)
 }
 
+// changerShape may lose the voter that leaves and the voter that moves its slot at once, and then two more.
+var changerShape = fleetShape{"two tolerated", 12, 4, 9, 2, 6 * time.Second}
+
 // TestNodeThatChangesVotersDies stops, at each millisecond of the change, the node that moves a leaving voter's slot, and the voter with
 // it.
 func TestNodeThatChangesVotersDies(t *testing.T) {
-	played := 0
+	voters := 0
 	for at := range 60 {
-		r := newVoterLossRun(t, fleetShapes[1], uint64(11+at%3))
+		r := newVoterLossRun(t, changerShape, uint64(11+at%3))
 		r.call(r.victim, Retire{})
 		changer := r.untilVoterChange()
 		if changer == "" {
 			t.Fatal("no node started to replace the voter")
 		}
-		if changer != r.victim && r.disks[changer] != "" {
-			continue
+		if changer == r.victim {
+			t.Fatalf("%s, which leaves, moves its own slot", changer)
+		}
+		if isVoter(r.latest().Voters, r.disks[changer]) {
+			voters++
 		}
-		played++
 		r.run(time.Duration(at/3) * time.Millisecond)
 		r.down[changer], r.down[r.victim] = true, true
 		r.run(time.Second)
@@ -83,8 +88,8 @@
 		}
 		r.loseMore()
 	}
-	if t.Logf("%d runs", played); played < 20 {
-		t.Errorf("only %d runs", played)
+	if t.Logf("the changing node was a voter in %d runs", voters); voters < 20 {
+		t.Errorf("only %d runs with a voter as the changing node", voters)
 	}
 }
 
--- a/control/checkzones.go
+++ b/control/checkzones.go
@@ -8,12 +8,11 @@
 	"github.com/mallowbridge/mallowbridge/config"
 	"github.com/mallowbridge/mallowbridge/gossip"
 	"github.com/mallowbridge/mallowbridge/lease"
-	"github.com/mallowbridge/mallowbridge/membership"
 )
 
 // runSingletonRoles runs the roles that only one node has at a time, if this node has the lease or may request it.
 func (n *Node) runSingletonRoles(now time.Duration) {
-	if !n.joining.joined || n.value == nil || n.serving.leaving || n.Members.Isolated(now) {
+	if !n.mayLead(now) {
 		return
 	}
 	if n.health.startedAt == 0 {
@@ -25,32 +24,35 @@
 	n.maintainVoters(now)
 }
 
-// checkZone checks a zone's replicas if this node has the zone's lease. If there have been no reports on the zone for takeoverAfter, the
-// first node in rank requests the lease; after probeWithoutLeaseAfter, it checks the replicas without one.
-func (n *Node) checkZone(now time.Duration, zone string) {
-	role := "probe/" + zone
-	token, holds := n.leases.Holds(now, role)
-	overdue := n.health.sinceLastReports(now, zone)
-	never := n.health.zone(zone).reportedAt == 0
-	if holds || ((never || overdue > takeoverAfter) && n.ranksFirst(role, zone)) {
-		n.sendToGrantors(n.leases.Acquire(now, role, n.value))
+// checksRole is the checking of a zone's replicas. If two nodes do it at once, the reports under the newer token replace the others.
+func checksRole(zone string) leasedRole {
+	return leasedRole{
+		work:       singletonRole{name: "probe/" + zone, zone: zone, turn: publishInterval},
+		leaseAfter: takeoverAfter, workAfter: probeWithoutLeaseAfter,
 	}
-	switch {
-	case holds:
-		n.checkReplicas(now, zone, packToken(token))
-	case overdue > probeWithoutLeaseAfter && n.ranksFirst(role, zone):
-		n.checkReplicas(now, zone, n.health.zone(zone).token)
+}
+
+// checkZone checks a zone's replicas if that is this node's right.
+func (n *Node) checkZone(now time.Duration, zone string) {
+	z := n.health.zone(zone)
+	right, token := n.seekRole(now, checksRole(zone), z.reported, n.health.startedAt)
+	switch right {
+	case byLease:
+		n.checkReplicas(now, zone, packToken(token), true)
+	case byTurn:
+		n.checkReplicas(now, zone, z.token, false)
 	}
 }
 
 func packToken(t lease.Token) uint64 { return t.Epoch<<32 | t.Number&0xffffffff }
 
-func (n *Node) checkReplicas(now time.Duration, zone string, token uint64) {
+// checkReplicas probes a zone's replicas and publishes reports when they are due; leased is whether that is under a lease with the token.
+func (n *Node) checkReplicas(now time.Duration, zone string, token uint64, leased bool) {
 	replicas := n.replicasIn(zone)
 	if !n.health.check(now, zone, token, replicas) {
 		return
 	}
-	reports := LoadReports{Zone: zone, By: n.config.Name, Urgent: n.health.zone(zone).urgent, Rows: n.health.reports(now, replicas)}
+	reports := LoadReports{Zone: zone, By: n.config.Name, Urgent: n.health.zone(zone).urgent, Rows: n.health.reports(now, replicas), Unleased: !leased}
 	if len(reports.Rows) == 0 {
 		return
 	}
@@ -113,22 +115,6 @@
 	return replicas
 }
 
-// ranksFirst reports whether this node ranks first for a role: among the alive members of the zone if there are any, otherwise among all
-// alive members.
-func (n *Node) ranksFirst(role, zone string) bool {
-	near := false
-	for _, m := range n.Members.Table.All() {
-		near = near || (m.State == membership.Alive && m.Zone == zone)
-	}
-	kind := "all/"
-	if near {
-		kind = "near/" + zone + "/"
-	}
-	return n.rankAmong(kind, role, func(m membership.Member) bool {
-		return m.State == membership.Alive && (!near || m.Zone == zone)
-	}) == 0
-}
-
 // KnowsZone reports whether a zone appears in the operators' document, in the member table or among the evacuated zones.
 func (n *Node) KnowsZone(zone string) bool {
 	if n.value != nil && slices.Contains(n.value.EvacuatedZones, zone) || slices.Contains(n.zones(), zone) {
--- a/control/encoding.go
+++ b/control/encoding.go
@@ -33,14 +33,16 @@
 	By     string
 	Urgent bool
 	Rows   []router.LoadReport
+	// Unleased was added after the other fields.
+	Unleased bool
 }
 
 func encodeLoadReports(l LoadReports) encodedLoadReports {
-	return encodedLoadReports{Domain: l.Zone, By: l.By, Urgent: l.Urgent, Rows: l.Rows}
+	return encodedLoadReports{Domain: l.Zone, By: l.By, Urgent: l.Urgent, Rows: l.Rows, Unleased: l.Unleased}
 }
 
 func decodeLoadReports(f encodedLoadReports) LoadReports {
-	return LoadReports{Zone: f.Domain, By: f.By, Urgent: f.Urgent, Rows: f.Rows}
+	return LoadReports{Zone: f.Domain, By: f.By, Urgent: f.Urgent, Rows: f.Rows, Unleased: f.Unleased}
 }
 
 type encodedReplicaListItem struct {
--- a/control/healthchecks.go
+++ b/control/healthchecks.go
@@ -12,9 +12,9 @@
 	// probeInterval is the time between two probes of a replica, publishInterval the time between two publications of a zone's reports.
 	probeInterval   = 250 * time.Millisecond
 	publishInterval = time.Second
-	// takeoverAfter is how long a zone may have no reports until another node requests its lease.
+	// takeoverAfter is how long a zone may have no reports until other nodes request its lease.
 	takeoverAfter = 2500 * time.Millisecond
-	// probeWithoutLeaseAfter is how long a zone may have no reports until the first node in rank probes its replicas without a lease.
+	// probeWithoutLeaseAfter is how long a zone may have no reports until nodes probe its replicas without a lease.
 	probeWithoutLeaseAfter = 4 * time.Second
 	// missesUntilDown is the number of consecutive failed probes after which a replica counts as down.
 	missesUntilDown = 2
@@ -31,8 +31,8 @@
 
 // zoneChecks is the state of the health checks of one zone's replicas. The holder of the zone's lease probes them and publishes reports.
 type zoneChecks struct {
-	// reportedAt is when reports were last received, or published by this node; 0: never.
-	reportedAt  time.Duration
+	// reported is when reports were last received, or published by this node.
+	reported    workRecord
 	probedAt    time.Duration
 	publishedAt time.Duration
 	// token is the newest lease token under which reports were made, packed into one number; seq numbers the reports under it.
@@ -65,11 +65,6 @@
 	return zone
 }
 
-// sinceLastReports returns the time since a zone's last reports, or since startedAt if that is later.
-func (h *healthChecks) sinceLastReports(now time.Duration, zone string) time.Duration {
-	return now - max(h.zone(zone).reportedAt, h.startedAt)
-}
-
 // check probes a zone's replicas under a lease token and reports whether their reports must be published. It does nothing if reports under
 // a newer token have been seen.
 func (h *healthChecks) check(now time.Duration, zone string, token uint64, replicas []config.Replica) bool {
@@ -122,7 +117,8 @@
 // onReports records a zone's reports; local is set if this node published them.
 func (h *healthChecks) onReports(now time.Duration, version gossip.Version, reports LoadReports, local bool) {
 	z := h.zone(reports.Zone)
-	z.reportedAt, z.token, z.seq = now, max(z.token, version.Hi), version.Lo
+	z.reported.done(now, !reports.Unleased)
+	z.token, z.seq = max(z.token, version.Hi), version.Lo
 	if local {
 		return
 	}
--- a/control/lab_test.go
+++ b/control/lab_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,8 +37,11 @@
 	ids      uint64
 	// list is the platform's replica list, which cannot be read while listFails is set. lists counts each node's reads, and replicaLists
 	// has the last list that each router received.
-	list         []router.Instance
-	listFails    bool
+	list      []router.Instance
+	listFails bool
+	// listFailsAt are the nodes at which the list cannot be read; reader is the reader of the operators' document, nil: anyDocument.
+	listFailsAt  []string
+	reader       config.Reader
 	lists        map[string]int
 	replicaLists map[string][]router.Instance
 	// changes are the nodes' logged changes, as the node's name and the kind.
@@ -99,6 +103,9 @@
 		cfg.Disk.Register.Disk = id
 		l.open(name, &cfg)
 	}
+	if l.reader != nil {
+		cfg.Read = l.reader
+	}
 	l.nodes[name] = New(l.now, cfg)
 	delete(l.down, name)
 }
@@ -124,6 +131,9 @@
 	if out.ReadReplicaList {
 		l.readList(name)
 	}
+	for _, p := range out.Probes {
+		l.inFlight = append(l.inFlight, delivery{at: l.now + time.Millisecond, to: name, msg: Probed{Replica: p.Replica, Local: p.Local, OK: true, InstanceID: "i-" + p.Replica}})
+	}
 	for _, ev := range out.Events {
 		if r, ok := ev.(router.ReplicaList); ok {
 			l.replicaLists[name] = r.Instances
@@ -158,7 +168,7 @@
 func (l *lab) readList(name string) {
 	l.lists[name]++
 	r := ListRead{Rows: l.list}
-	if l.listFails {
+	if l.listFails || slices.Contains(l.listFailsAt, name) {
 		r = ListRead{Err: errors.New("list is unavailable")}
 	}
 	l.inFlight = append(l.inFlight, delivery{at: l.now + 2*time.Millisecond, to: name, msg: r})
--- a/control/list.go
+++ b/control/list.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/gossip"
-	"github.com/mallowbridge/mallowbridge/membership"
 	"github.com/mallowbridge/mallowbridge/router"
 	"github.com/mallowbridge/mallowbridge/scheduler"
 )
@@ -13,22 +12,27 @@
 const (
 	replicaListKey      = "l"
 	listConfirmationKey = "lt/"
-	listRole            = "list"
-	// confirmationTimeout is how long a node waits for a confirmation by another node before it reads the list itself. Each position in
-	// rank adds listRankDelay.
+	// confirmationTimeout is how long the list may go without a confirmation until the other nodes take turns to read it, each for listTurn.
 	confirmationTimeout = 1300 * time.Millisecond
-	listRankDelay       = 200 * time.Millisecond
-	// maxListRank is the highest rank that counts in these delays.
-	maxListRank = 8
-	// firstListRetry is the minimum time between reads by a starting node; listRankDelay per position in rank spreads the reads of nodes
-	// that start at once.
-	firstListRetry = 200 * time.Millisecond
+	listTurn            = 200 * time.Millisecond
+	// listMissesUntilRelease is the number of consecutive failed reads after which a node gives up the lease: others may reach the platform.
+	listMissesUntilRelease = 2
+	// firstListRetry is the minimum time between reads by a starting node; a turn per position in rank, up to maxFirstListRank, spreads the
+	// reads of nodes that start at once.
+	firstListRetry   = 200 * time.Millisecond
+	maxFirstListRank = 8
 	// firstListWait is how long after its start a node that is not a seed waits before its first read.
 	firstListWait = 150 * time.Millisecond
 	// firstListSpread is the interval, in milliseconds, over which nodes that are not seeds spread their first read.
 	firstListSpread = 400
 )
 
+// listRole is the reading of the platform's replica list. Two readers at once cost one more read.
+var listRole = leasedRole{
+	work:       singletonRole{name: "list", turn: listTurn},
+	leaseAfter: confirmationTimeout, workAfter: confirmationTimeout,
+}
+
 // ReplicaListItem is the gossip item with the platform's replica list as read by one node. It is published only when it changes.
 type ReplicaListItem struct{ Rows []router.Instance }
 
@@ -39,7 +43,11 @@
 func (ReplicaListItem) Since() uint32 { return 2 }
 
 // ListConfirmation is the gossip item which confirms that the list was read and that the ReplicaListItem of that version is still current.
-type ListConfirmation struct{ Version gossip.Version }
+type ListConfirmation struct {
+	Version gossip.Version
+	// Unleased reports that the node that read the list did not have its lease; builds from before it was added leave it unset.
+	Unleased bool
+}
 
 // Ephemeral reports that a node that starts later does not need the item.
 func (ListConfirmation) Ephemeral() bool { return true }
@@ -58,15 +66,19 @@
 // listReader records when any node last confirmed the list and when this node last started to read it, and counts its failed and successful
 // reads.
 type listReader struct {
-	confirmedAt   time.Duration
+	confirmed     workRecord
 	readStartedAt time.Duration
 	reading       bool
-	fails         uint64
-	reads         uint64
+	// leased is set if the last read was started under the lease.
+	leased bool
+	// misses is the number of consecutive failed reads.
+	misses int
+	fails  uint64
+	reads  uint64
 }
 
-// readList requests a read of the platform's list. The holder of the lease does so every ListEvery, any other node only while it receives
-// no confirmation.
+// readList requests a read of the platform's list. The holder of the lease does so every ListEvery; while there are no confirmations, the
+// other nodes take turns.
 func (n *Node) readList(now time.Duration) {
 	l := &n.replicaList
 	if n.config.ListEvery == 0 || n.serving.leaving || l.reading {
@@ -87,33 +99,20 @@
 	if now-n.replicaList.readStartedAt < n.config.ListEvery {
 		return false
 	}
-	return n.holdsListRole(now) || now-n.replicaList.confirmedAt >= confirmationTimeout+time.Duration(n.rank(listRole))*listRankDelay
-}
-
-// holdsListRole reports whether this node has the list lease. It renews the lease, or requests it if this node ranks first.
-func (n *Node) holdsListRole(now time.Duration) bool {
-	if n.value == nil || !n.joining.joined || n.Members.Isolated(now) {
-		return false
-	}
-	_, yes := n.leases.Holds(now, listRole)
-	if yes || n.ranksFirst(listRole, "") {
-		n.sendToGrantors(n.leases.Acquire(now, listRole, n.value))
-	}
-	return yes
+	right, _ := n.seekRole(now, listRole, n.replicaList.confirmed, n.startedAt)
+	n.replicaList.leased = right == byLease
+	return right != noRight
 }
 
 // firstListDue reports whether to read the list while no node is known to have read it. Until then nothing can be served. Seeds read first,
 // and most other nodes receive their result.
 func (n *Node) firstListDue(now time.Duration) bool {
-	spread := time.Duration(scheduler.RendezvousWeight(listRole, n.config.Name)%firstListSpread) * time.Millisecond
+	spread := time.Duration(scheduler.RendezvousWeight(listRole.work.name, n.config.Name)%firstListSpread) * time.Millisecond
 	if !slices.Contains(n.config.Seeds, n.config.Addr) && now-n.startedAt < firstListWait+spread {
 		return false
 	}
-	return now-n.replicaList.readStartedAt >= firstListRetry+time.Duration(n.rank(listRole))*listRankDelay
-}
-
-func (n *Node) rank(role string) int {
-	return min(n.rankAmong("live/", role, membership.Member.Live), maxListRank)
+	rank := min(n.position(listRole.work).rank, maxFirstListRank)
+	return now-n.replicaList.readStartedAt >= firstListRetry+time.Duration(rank)*listTurn
 }
 
 func (n *Node) onListRead(now time.Duration, r ListRead) {
@@ -121,9 +120,14 @@
 	l.reading = false
 	if r.Err != nil {
 		l.fails++
+		if l.misses++; l.misses >= listMissesUntilRelease && n.value != nil {
+			n.releaseRole(listRole)
+		}
 		return
 	}
-	l.reads, l.confirmedAt = l.reads+1, now
+	l.reads++
+	l.misses = 0
+	l.confirmed.done(now, l.leased)
 	version := gossip.Version{Lo: n.config.Seed}
 	it, ok := n.Gossip.Get(replicaListKey)
 	if ok {
@@ -136,7 +140,7 @@
 	} else {
 		version = it.Version
 	}
-	n.Gossip.Put(gossip.Item{Key: listConfirmationKey + n.config.Name, Version: n.itemVersion(l.reads), Data: ListConfirmation{Version: version}})
+	n.Gossip.Put(gossip.Item{Key: listConfirmationKey + n.config.Name, Version: n.itemVersion(l.reads), Data: ListConfirmation{Version: version, Unleased: !l.leased}})
 }
 
 // sameInstances compares two lists. It ignores how much longer a replica warms up, but not whether it does.
@@ -152,6 +156,6 @@
 
 func (n *Node) onReplicaListItem(r ReplicaListItem) { n.emit(router.ReplicaList{Instances: r.Rows}) }
 
-func (n *Node) onListConfirmation(now time.Duration, _ ListConfirmation) {
-	n.replicaList.confirmedAt = now
+func (n *Node) onListConfirmation(now time.Duration, c ListConfirmation) {
+	n.replicaList.confirmed.done(now, !c.Unleased)
 }
--- a/control/messages.go
+++ b/control/messages.go
@@ -9,6 +9,8 @@
 	By     string
 	Urgent bool
 	Rows   []router.LoadReport
+	// Unleased reports that the node did not have the zone's lease; builds from before it was added leave it unset.
+	Unleased bool
 }
 
 // SentOnce reports whether the item is pushed only once to each peer. Urgent items are pushed repeatedly.
--- a/control/node.go
+++ b/control/node.go
@@ -100,7 +100,7 @@
 	n := &Node{
 		config: cfg, proposer: register.NewProposer(by, cfg.Seed), leases: lease.NewHolder(by, cfg.Seed), Gossip: gossip.New(cfg.Gossip, cfg.Seed),
 		effects: &effects{}, startedAt: now, operations: newOperations(), joining: newJoinState(now), serving: servingState{reportedAt: -time.Hour},
-		bootstrapping: bootstrapState{at: -time.Hour}, replicaList: listReader{confirmedAt: now, readStartedAt: -time.Hour},
+		bootstrapping: bootstrapState{at: -time.Hour}, replicaList: listReader{readStartedAt: -time.Hour},
 		witness: newWitness(now), platformStates: map[string]platformState{}, documents: newDocuments(), quotas: newQuotaState(now, cfg),
 	}
 	n.health = newHealthChecks(n.effects)
--- a/control/outputs.go
+++ b/control/outputs.go
@@ -84,6 +84,8 @@
 	ChangeVoters                ChangeKind = "voters"
 	// ChangeVotersBegun is logged when this node starts to replace voters; the simulator waits for it.
 	ChangeVotersBegun ChangeKind = "replacing voters"
+	// ChangeVotersFailed is logged when a change of the voters that this node started did not succeed.
+	ChangeVotersFailed ChangeKind = "voter change failed"
 )
 
 // Change is a line for the operators' log.
--- a/control/voters.go
+++ b/control/voters.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -13,18 +14,41 @@
 	voterLostAfter = 2500 * time.Millisecond
 	// voterChangeInterval is the minimum time between two attempts of one node to change the voters.
 	voterChangeInterval = time.Second
-	// voterRole is the role that ranks the nodes that may change the voters.
-	voterRole = "mend"
 )
 
-// voterRepair records since when each voter has been lost, and when this node last tried to change the voters.
+// voterRole is the changing of the voters. If two nodes do it at once, one of their changes succeeds, because each requires the epoch that it
+// was computed for.
+var voterRole = singletonRole{name: "mend", voters: true, turn: voterChangeInterval}
+
+// voterRepair records since when each voter has been lost, since when a change of the voters has been due, and when this node last tried one.
 type voterRepair struct {
 	lostSince map[string]time.Duration
+	due       dueChange
 	changedAt time.Duration
 }
 
-// track records since when each voter has been lost. Every node does, so that the node that becomes first in rank need not wait for the
-// whole timeout again.
+// dueChange records that the voters of an epoch have had to change since some time.
+type dueChange struct {
+	pending bool
+	epoch   uint64
+	since   time.Duration
+}
+
+// observe records whether the voters of an epoch must change, and returns for how long they have had to, or a negative time if they need
+// not. Each change that succeeds has a new epoch.
+func (d *dueChange) observe(now time.Duration, pending bool, epoch uint64) time.Duration {
+	if !pending {
+		*d = dueChange{}
+		return -1
+	}
+	if !d.pending || d.epoch != epoch {
+		*d = dueChange{pending: true, epoch: epoch, since: now}
+	}
+	return now - d.since
+}
+
+// track records since when each voter has been lost. Every node does, so that the next one that has a turn need not wait for the whole
+// timeout again.
 func (r *voterRepair) track(now time.Duration, s voterSet) {
 	since := map[string]time.Duration{}
 	for _, v := range s.value.Voters {
@@ -51,35 +75,38 @@
 	return n.snapshot.Config.ReplaceVoterAfter
 }
 
-// maintainVoters keeps the voter set complete. Only the node that is first in rank does so. If two nodes both consider themselves first,
-// only one of their changes succeeds, because each change requires the epoch it was computed for. A change that has started is finished
-// before another one is considered.
+// maintainVoters keeps the voter set complete. The members take turns at it for as long as a change is due. A change that has started is
+// finished before another one is considered.
 func (n *Node) maintainVoters(now time.Duration) {
 	set := voterSet{value: n.value, members: &n.Members.Table}
 	n.voters.track(now, set)
-	if !n.ranksFirst(voterRole, "") || now-n.voters.changedAt < voterChangeInterval {
+	next, why := set.next(now, n.voters.lostSince, n.lostVoterTimeout(), n.config.FaultTolerance)
+	started := len(n.value.NextVoters) > 0
+	due := n.voters.due.observe(now, started || next != nil, n.value.Epoch)
+	if !n.hasTurn(now, voterRole, due) || now-n.voters.changedAt < voterChangeInterval {
 		return
 	}
-	if len(n.value.NextVoters) > 0 {
-		n.voters.changedAt = now
+	n.voters.changedAt = now
+	if started {
 		n.finishVoters(now, n.value.Epoch)
 		return
 	}
-	next, why := set.next(now, n.voters.lostSince, n.lostVoterTimeout(), n.config.FaultTolerance)
-	if next == nil {
-		return
-	}
-	n.voters.changedAt = now
-	n.logChange(ChangeVotersBegun, why)
+	n.logChange(ChangeVotersBegun, fmt.Sprintf("%s, due for %s", why, due))
 	n.proposeUrgent(now, beginVoterChangeAt(n.value.Epoch, next), func(now time.Duration, r register.Result) {
 		if r.Err == nil {
 			n.finishVoters(now, r.Value.Epoch)
+			return
 		}
+		n.logChange(ChangeVotersFailed, r.Err.Error())
 	})
 }
 
 func (n *Node) finishVoters(now time.Duration, epoch uint64) {
-	n.proposeUrgent(now, finishVoterChangeAt(epoch), func(time.Duration, register.Result) {})
+	n.proposeUrgent(now, finishVoterChangeAt(epoch), func(_ time.Duration, r register.Result) {
+		if r.Err != nil {
+			n.logChange(ChangeVotersFailed, r.Err.Error())
+		}
+	})
 }
 
 // beginVoterChangeAt returns a change that installs the next voters in addition to the current ones, if the epoch is still the one for which
--- a/control/voters_test.go
+++ b/control/voters_test.go
@@ -82,8 +82,9 @@
 		if got := l.read("n5"); got != text {
 			t.Fatalf("round %d: after %s came back empty, read %q", i, name, got)
 		}
-		if !slices.Contains(l.voters(), l.disks[name]) && len(l.voters()) != 3 {
-			t.Fatalf("round %d: voters %v", i, l.voters())
+		want := []string{l.disks["n0"], l.disks["n1"], l.disks["n2"]}
+		if slices.Sort(want); !slices.Equal(l.voters(), want) {
+			t.Fatalf("round %d: after %s came back empty, the voters are %v, want %v", i, name, l.voters(), want)
 		}
 	}
 }
