--- a/control/refill_test.go
+++ b/control/refill_test.go
@@ -104,12 +104,13 @@
 	return within
 }
 
-func (r *voterLossRun) addMachine() string {
-	name := fmt.Sprint("n", len(r.order))
-	r.order = append(r.order, name)
-	r.ids++
-	r.disks[name] = fmt.Sprint("disk-", name, "-", r.ids)
-	r.boot(name, false)
+// addMachine starts another machine, with an empty disk, and returns its name.
+func (l *lab) addMachine() string {
+	name := fmt.Sprint("n", len(l.order))
+	l.order = append(l.order, name)
+	l.ids++
+	l.disks[name] = fmt.Sprint("disk-", name, "-", l.ids)
+	l.boot(name, false)
 	return name
 }
 
--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -38,7 +38,7 @@
 }
 
 // takeoverShape has a node without a disk, n13, that ranks first by weight alone.
-var takeoverShape = fleetShape{name: "takeover", nodes: 14, zones: 3, disks: 3, tolerate: 1}
+var takeoverShape = fleetShape{name: "takeover", nodes: 14, zones: 3, disks: 3, tolerate: 1, within: 4 * time.Second}
 
 // TestEmptiedVotersAreReplacedWhileANodeIsCutOffFromVoters guards against waiting for a node that other members reach but that reaches no
 // majority of the voters. One node without a disk after the other is cut off. Two voters lose their disks, the second one 4 s after the first
