Soak: voters lose their disks, and have an injector of their own

Cause: the soak of real processes never lost a disk, and faults of voters and of other nodes of the first group took turns. Change: voters fail by themselves, beside the groups of other nodes, in series that include lost disks, 4 s apart, as one may be lost at a time. collect ends when no row waits, and goes on after an error of the ledger.

--- a/cmd/mallowbridge/soak.go
+++ b/cmd/mallowbridge/soak.go
@@ -49,8 +49,8 @@
 
 // soakCounts returns the counts of a soak test as text.
 func soakCounts(r rehearsal.SoakReport) string {
-	return fmt.Sprintf("%d asked, %d served, %d rejected, %d unanswered, %d ran, %d of %d served after the faults; %d kills, %d stops, %d freezes, %d reloads, %d crashes; "+
+	return fmt.Sprintf("%d asked, %d served, %d rejected, %d unanswered, %d ran, %d of %d served after the faults; %d kills, %d stops, %d freezes, %d reloads, %d lost disks, %d crashes; "+
 		"%d revisions, read %d times, %d orders on zones, %d more held up, %d more left early; ",
-		r.Requests, r.Served, r.Rejected, r.Failed, r.Runs, r.ServedAfterFaults, r.RequestsAfterFaults, r.Kills, r.Stops, r.Freezes, r.Reloads, r.Crashes,
+		r.Requests, r.Served, r.Rejected, r.Failed, r.Runs, r.ServedAfterFaults, r.RequestsAfterFaults, r.Kills, r.Stops, r.Freezes, r.Reloads, r.LostDisks, r.Crashes,
 		r.Revisions, r.Reads, r.ZoneRequests, r.DelayedRequests, r.AbandonedRequests)
 }
--- a/standin/rehearsal/faultinjector.go
+++ b/standin/rehearsal/faultinjector.go
@@ -16,6 +16,7 @@
 	crashStream
 	routeStream
 	zoneStream
+	voterStream
 	injectorStream = 1 << 33
 )
 
@@ -39,14 +40,15 @@
 	maxCrashPause = 4 * time.Second
 )
 
-// FaultCounts counts the kills, stops (SIGTERM), freezes and reloads of nodes and the crashes of replicas.
-type FaultCounts struct{ Kills, Stops, Freezes, Reloads, Crashes int }
+// FaultCounts counts the kills, stops (SIGTERM), freezes and reloads of nodes, the lost disks of voters, and the crashes of replicas.
+type FaultCounts struct{ Kills, Stops, Freezes, Reloads, LostDisks, Crashes int }
 
 func (c *FaultCounts) add(o FaultCounts) {
 	c.Kills += o.Kills
 	c.Stops += o.Stops
 	c.Freezes += o.Freezes
 	c.Reloads += o.Reloads
+	c.LostDisks += o.LostDisks
 	c.Crashes += o.Crashes
 }
 
@@ -90,22 +92,26 @@
 
 // newFaultInjectors returns an injector for the replicas and one for each group of nodes. newRand returns the random generator of a stream.
 func newFaultInjectors(f *Fleet, p *Platform, newRand func(n uint64) *rand.Rand) []*faultInjector {
-	replicas := &faultInjector{rng: newRand(crashStream), maxPause: maxCrashPause}
-	replicas.inject = func() error {
-		replicas.counts.Crashes++
-		return p.Crash(replicas.rng.IntN(1 << 20))
+	return append(newNodeInjectors(f, 0, newRand), newReplicaInjector(p, newRand(crashStream)))
+}
+
+// newReplicaInjector returns an injector that crashes replicas.
+func newReplicaInjector(p *Platform, rng *rand.Rand) *faultInjector {
+	fi := &faultInjector{rng: rng, maxPause: maxCrashPause}
+	fi.inject = func() error {
+		fi.counts.Crashes++
+		return p.Crash(fi.rng.IntN(1 << 20))
 	}
-	all := []*faultInjector{replicas}
-	for first := 0; first < len(f.nodes); first += nodesPerInjector {
+	return fi
+}
+
+// newNodeInjectors returns an injector for each group of nodes from the given one on.
+func newNodeInjectors(f *Fleet, from int, newRand func(n uint64) *rand.Rand) []*faultInjector {
+	var all []*faultInjector
+	for first := from; first < len(f.nodes); first += nodesPerInjector {
 		fi := &faultInjector{rng: newRand(injectorStream + uint64(first)), maxPause: maxSeriesPause}
 		size := min(nodesPerInjector, len(f.nodes)-first)
-		fi.inject = func() error {
-			if fi.rng.IntN(2) == 0 {
-				fi.freezeGroup(f, first, size)
-				return nil
-			}
-			return fi.failRepeatedly(f, first+fi.rng.IntN(size))
-		}
+		fi.inject = func() error { return fi.failGroup(f, first, size) }
 		all = append(all, fi)
 	}
 	return all
@@ -136,6 +142,15 @@
 	return counts, first
 }
 
+// failGroup freezes some nodes of a group at once, or makes one of them fail repeatedly.
+func (fi *faultInjector) failGroup(f *Fleet, first, size int) error {
+	if fi.rng.IntN(2) == 0 {
+		fi.freezeGroup(f, first, size)
+		return nil
+	}
+	return fi.failRepeatedly(f, first+fi.rng.IntN(size))
+}
+
 // freezeGroup freezes some nodes of a group at once, each for a random time. This is what happens to nodes on a machine with too few cores.
 func (fi *faultInjector) freezeGroup(f *Fleet, first, size int) {
 	var all sync.WaitGroup
--- a/standin/rehearsal/settings.go
+++ b/standin/rehearsal/settings.go
@@ -31,6 +31,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+i>>2, pid>>6&0xff, pid&0x3f<<2|i&3)
 }
 
+// diskDir returns the directory of a voter's disk; dir is that of the fleet.
+func (n *node) diskDir(dir string) string { return filepath.Join(dir, n.name) }
+
 // writeSettings writes the settings file of the i-th node; cloud is the address of the platform, and firstStart is set if the fleet has never
 // run.
 func (f *Fleet) writeSettings(i int, cloud string, firstStart bool) error {
@@ -38,7 +41,7 @@
 	n.settings = filepath.Join(f.dir, n.name+".yaml")
 	disk := ""
 	if n.voter {
-		disk = fmt.Sprintf("dataDirectory: %q\n", filepath.Join(f.dir, n.name))
+		disk = fmt.Sprintf("dataDirectory: %q\n", n.diskDir(f.dir))
 	}
 	text := fmt.Sprintf(`nodeName: %q
 role: "node"
--- a/standin/rehearsal/soak.go
+++ b/standin/rehearsal/soak.go
@@ -81,7 +81,7 @@
 }
 
 // RunSoak starts a platform and a fleet. Clients keep using their connections while nodes are killed, stopped, frozen and reloaded in overlapping
-// series, replicas cut their responses and crash, and operators change routes and evacuate zones, some of them through partitions. Then it checks what
+// series, voters lose their disks, replicas cut their responses and crash, and operators change routes and evacuate zones, some of them through partitions. Then it checks what
 // happened against the rules of soaks.
 func RunSoak(o SoakOptions) (SoakReport, error) {
 	s := &soak{SoakOptions: o, runs: make(chan ReplicaRun, runBuffer), responses: make(chan soakResponse, runBuffer)}
@@ -120,7 +120,7 @@
 	all.Go(func() { operators.run(end) })
 	all.Go(func() { s.zones.run(end) })
 	all.Go(func() {
-		s.report.FaultCounts, injectionErr = runFaultInjectors(synchronizePauses(newFaultInjectors(s.fleet, s.platform, s.newRand)), faultsOver)
+		s.report.FaultCounts, injectionErr = runFaultInjectors(synchronizePauses(newSoakInjectors(s.fleet, s.platform, s.newRand)), faultsOver)
 		faultsOver = time.Now()
 	})
 	for n := range s.Clients {
@@ -140,20 +140,22 @@
 	return faultsOver, cmp.Or(err, injectionErr)
 }
 
-// collect records runs and responses until done is closed.
+// collect records runs and responses until done is closed and none waits. It returns the first error of the ledger, but goes on, so that nobody
+// waits for it.
 func (s *soak) collect(done chan struct{}) error {
 	ledgerRows := json.NewEncoder(s.Ledger)
+	var failed error
 	for {
 		select {
 		case run := <-s.runs:
 			s.recordedRuns = append(s.recordedRuns, timedRun{ReplicaRun: run, atMs: time.Now().UnixMilli(), alteration: describeAlteration(run.Request, run.Body)})
 		case a := <-s.responses:
 			s.recordedResponses = append(s.recordedResponses, a)
-			if err := ledgerRows.Encode(a.SoakResponse); err != nil {
-				return err
-			}
+			failed = cmp.Or(failed, ledgerRows.Encode(a.SoakResponse))
 		case <-done:
-			return nil
+			if len(s.runs)+len(s.responses) == 0 {
+				return failed
+			}
 		}
 	}
 }
