control: the long tests of takeovers and chunk sources run their cases in parallel

Cause: under the race detector, beside load, the package came near the ten minutes of go test. Change: subtests with t.Parallel; the cases, seeds and bounds are the same.

--- a/control/chunksmixed_test.go
+++ b/control/chunksmixed_test.go
@@ -138,30 +138,39 @@
 // if they do not reply or do not have the chunks. It also guards against nodes that wait for each silent source again and again while the
 // document spreads from node to node.
 func TestNextChunkSourceIsAskedInTurn(t *testing.T) {
-	for run := range 2 * chunkSourceSeeds {
-		how := []string{"silent", "without chunks"}[run%2]
-		l := newSizedLab(t, fleetShape{nodes: 18, zones: 3, disks: 4, tolerate: 1}, uint64(run/2))
-		l.run(6 * time.Second)
-		asked := 0
-		l.sent = func(from, to string, msg any) bool {
-			pull, is := msg.(ChunkPull)
-			if !is || l.disks[to] == "" {
-				return false
-			}
-			asked++
-			if how == "without chunks" {
-				l.inFlight = append(l.inFlight, delivery{at: l.now + time.Millisecond, from: to, to: from, msg: ChunkData{Missing: pull.Names}})
-			}
-			return true
+	for seed := range uint64(chunkSourceSeeds) {
+		for _, how := range []string{"silent", "without chunks"} {
+			t.Run(fmt.Sprint(how, "/", seed), func(t *testing.T) {
+				t.Parallel()
+				askDisksInVain(t, seed, how)
+			})
 		}
-		next := document(1, -1)
-		if a := l.put("n4", next); a.Err != nil {
-			t.Fatal(how, a.Err)
+	}
+}
+
+// askDisksInVain puts a document while no machine with a disk gives chunks.
+func askDisksInVain(t *testing.T, seed uint64, how string) {
+	l := newSizedLab(t, fleetShape{nodes: 18, zones: 3, disks: 4, tolerate: 1}, seed)
+	l.run(6 * time.Second)
+	asked := 0
+	l.sent = func(from, to string, msg any) bool {
+		pull, is := msg.(ChunkPull)
+		if !is || l.disks[to] == "" {
+			return false
 		}
-		t.Logf("%s: applied after %v, disks asked %d times", how, l.untilApplied(next, applyWithin), asked)
-		if asked == 0 {
-			t.Errorf("%s: the test proves nothing", how)
+		asked++
+		if how == "without chunks" {
+			l.inFlight = append(l.inFlight, delivery{at: l.now + time.Millisecond, from: to, to: from, msg: ChunkData{Missing: pull.Names}})
 		}
+		return true
+	}
+	next := document(1, -1)
+	if a := l.put("n4", next); a.Err != nil {
+		t.Fatal(a.Err)
+	}
+	t.Logf("applied after %v, disks asked %d times", l.untilApplied(next, applyWithin), asked)
+	if asked == 0 {
+		t.Error("the test proves nothing")
 	}
 }
 
--- a/control/cutsandlosses_test.go
+++ b/control/cutsandlosses_test.go
@@ -39,14 +39,21 @@
 		if shape.nodes > 20 && *cutAndLossSeeds < 10 {
 			continue
 		}
-		writes, lost := 0, 0
-		for seed := range uint64(*cutAndLossSeeds) {
-			day := playCutsAndLosses(t, shape, seed)
-			writes, lost = writes+day.confirmed, lost+day.lost
-		}
-		if t.Logf("%s, %d seeds: %d changes confirmed, %d disks lost", shape.name, *cutAndLossSeeds, writes, lost); lost < 5**cutAndLossSeeds {
-			t.Errorf("%s: only %d disks were lost", shape.name, lost)
-		}
+		t.Run(shape.name, func(t *testing.T) {
+			t.Parallel()
+			playAllCutsAndLosses(t, shape)
+		})
+	}
+}
+
+func playAllCutsAndLosses(t *testing.T, shape fleetShape) {
+	writes, lost := 0, 0
+	for seed := range uint64(*cutAndLossSeeds) {
+		day := playCutsAndLosses(t, shape, seed)
+		writes, lost = writes+day.confirmed, lost+day.lost
+	}
+	if t.Logf("%s, %d seeds: %d changes confirmed, %d disks lost", shape.name, *cutAndLossSeeds, writes, lost); lost < 5**cutAndLossSeeds {
+		t.Errorf("%s: only %d disks were lost", shape.name, lost)
 	}
 }
 
--- a/control/takeover_test.go
+++ b/control/takeover_test.go
@@ -50,7 +50,10 @@
 	for _, cut := range partialCuts {
 		for node := takeoverShape.disks; node < takeoverShape.nodes; node++ {
 			name := fmt.Sprint("n", node)
-			t.Run(cut.name+"/"+name, func(t *testing.T) { loseTwoVoters(t, name, cut, "n1", "n2") })
+			t.Run(cut.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				loseTwoVoters(t, name, cut, "n1", "n2")
+			})
 		}
 	}
 }
@@ -58,7 +61,10 @@
 // TestEmptiedVotersAreReplacedWhileAVoterIsCutOffFromVoters checks that nodes without a disk take their turns: only they reach a majority.
 func TestEmptiedVotersAreReplacedWhileAVoterIsCutOffFromVoters(t *testing.T) {
 	for _, cut := range partialCuts {
-		t.Run(cut.name, func(t *testing.T) { loseTwoVoters(t, "n0", cut, "n1", "n2") })
+		t.Run(cut.name, func(t *testing.T) {
+			t.Parallel()
+			loseTwoVoters(t, "n0", cut, "n1", "n2")
+		})
 	}
 }
 
