node: SIGHUPs that wait no longer cost SIGTERM, and a hanging reload does not delay it

Cause: all signals shared one channel with four places. The runtime drops a signal that finds its channel full, and the goroutine that read the channel was busy with reloads. Change: SIGHUP and the stop signals have a channel of one place each, and reloads have their own goroutine, which the end of the node does not wait for. The grace period, which a reload changes, is atomic. Shown by two cases of signals.txtar whose settings file is a pipe, so that the reload waits for certain.

--- a/cmd/mallowbridge/node.go
+++ b/cmd/mallowbridge/node.go
@@ -7,10 +7,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -34,10 +32,7 @@
 	var replicas placement
 	replicas.addFlags(c)
 	cmds["node"] = func(_ io.Reader, _ io.Writer) error {
-		// By default SIGHUP ends the process. A SIGHUP during the start waits in this channel until the node is up. Other signals end a
-		// starting node, as they should.
-		signals := make(chan os.Signal, pendingSignals)
-		signal.Notify(signals, syscall.SIGHUP)
+		signals := newNodeSignals()
 		s, err := platform.ReadSettings(*file)
 		if err != nil {
 			return err
@@ -46,9 +41,6 @@
 	}
 }
 
-// pendingSignals is the number of signals that can wait while the node starts.
-const pendingSignals = 4
-
 const (
 	// listInterval is the time between reads of the platform's list of replicas.
 	listInterval = time.Second
@@ -105,11 +97,12 @@
 
 // platformNode is a node on the users' platform.
 type platformNode struct {
-	tomb     *tomb.Tomb
-	log      *log.Logger
-	settings platform.Settings
-	daemon   *daemon.Daemon
-	proxy    *proxy.Proxy
+	tomb   *tomb.Tomb
+	log    *log.Logger
+	daemon *daemon.Daemon
+	proxy  *proxy.Proxy
+	// gracePeriod is the time.Duration that a shutdown may take. A reload changes it.
+	gracePeriod atomic.Int64
 	// documents may only be used by the goroutine that owns the control state.
 	documents platform.CachingReader
 	// limits are those of the current configuration.
@@ -119,14 +112,15 @@
 }
 
 // runNode starts the node and runs it until it is stopped.
-func runNode(file string, s platform.Settings, replicas placement, signals chan os.Signal) error {
+func runNode(file string, s platform.Settings, replicas placement, signals nodeSignals) error {
 	if mb := s.Resources.MemoryMB; mb > 0 {
 		// The soft limit of the Go runtime is 70 % of the process's memory.
 		debug.SetMemoryLimit(int64(mb) << 20 * 7 / 10)
 	}
 	lg := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
 	lg.Context = log.NewContext(nil).Str("node", s.Name).Value()
-	n := &platformNode{tomb: &tomb.Tomb{}, settings: s, log: lg}
+	n := &platformNode{tomb: &tomb.Tomb{}, log: lg}
+	n.gracePeriod.Store(int64(s.Bounds.GracePeriod))
 	n.limits.Store(&config.Limits{})
 	listeners, err := openListeners(s)
 	if err != nil {
