Rehearsals share their options, flags and endings

streams, quotas and soak each declared the same seven flags, opened their folder and printed their end in the same way; StreamOptions, QuotaOptions and SoakOptions repeated eight fields. Defaults are as they were. Measured: lint is clean, the scripts of the commands and the tests of standin/rehearsal pass.

--- a/cmd/mallowbridge/quotas.go
+++ b/cmd/mallowbridge/quotas.go
@@ -18,12 +18,8 @@
 func addQuotasCommand(app *kingpin.Application, cmds map[string]command) {
 	c := app.Command("quotas", "Run nodes of the platform as processes with tenants that exceed their quotas, while nodes fail and quotas change, and check what the replicas ran.")
 	var o rehearsal.QuotaOptions
-	c.Flag("dir", "Directory for settings, disks, logs and the ledger; created if it does not exist.").Default(".fleet/quotas").StringVar(&o.Dir)
-	c.Flag("seed", "Seed of faults and load.").Default("1").Uint64Var(&o.Seed)
-	c.Flag("for", "How long clients send requests.").Default("60s").DurationVar(&o.Duration)
-	c.Flag("nodes", "Number of node processes, 3 to 252; the first three have a disk.").Default("9").IntVar(&o.Nodes)
-	c.Flag("replicas", "Number of stand-in replicas.").Default("6").IntVar(&o.Replicas)
-	c.Flag("clients", "Number of clients, each with its own connection.").Default("64").IntVar(&o.Clients)
+	flags := rehearsalFlags{dir: ".fleet/quotas", nodes: "9", clients: "64", nodeRangeHelp: "3 to 252", durationHelp: "How long clients send requests."}
+	flags.addTo(c, &o.Options)
 	c.Flag("calm", "Cause no faults of nodes and replicas.").BoolVar(&o.NoFaults)
 	c.Flag("unchanged", "Do not change the configuration.").BoolVar(&o.FixedConfiguration)
 	cmds["quotas"] = func(_ io.Reader, out io.Writer) error { return rehearseQuotas(o, out) }
@@ -31,19 +27,14 @@
 
 // rehearseQuotas runs the rehearsal and reports its result.
 func rehearseQuotas(o rehearsal.QuotaOptions, out io.Writer) error {
-	folder, err := openRehearsalFolder(o.Dir, quotaLedgerFile)
-	if err != nil {
+	if err := prepareRehearsal(&o.Options, quotaLedgerFile); err != nil {
 		return err
 	}
-	o.Dir, o.Binary, o.Ledger = folder.dir, folder.binary, folder.ledger
 	r, err := rehearsal.RunQuotas(o)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if r.DataRaces > 0 {
-		return trace.Wrap(&DataRaceError{N: r.DataRaces, Dir: o.Dir})
-	}
-	return printBreaches(out, quotaCounts(r), r.Breaches)
+	return rehearsalResult{counts: quotaCounts(r), breaches: r.Breaches, dataRaces: r.DataRaces}.report(out, o.Dir)
 }
 
 // quotaCounts returns the counts of a rehearsal as text.
--- a/cmd/mallowbridge/soak.go
+++ b/cmd/mallowbridge/soak.go
@@ -16,35 +16,25 @@
 // addSoakCommand adds the command that runs real node processes through overlapping series of faults and changes.
 func addSoakCommand(app *kingpin.Application, cmds map[string]command) {
 	c := app.Command("soak", "Run nodes of the platform as processes with clients that keep their connections, while nodes fail in series and routes and zones change, and check what the replicas ran and the clients got.")
-	var o rehearsal.SoakOptions
-	c.Flag("dir", "Directory for settings, disks, logs and the ledger; created if it does not exist.").Default(".fleet/soak").StringVar(&o.Dir)
-	c.Flag("program", "Program that the nodes run; by default this one.").StringVar(&o.Binary)
-	c.Flag("seed", "Seed of faults, changes and load.").Default("1").Uint64Var(&o.Seed)
-	c.Flag("for", "How long clients send requests; the last 20 seconds are without faults, for recovery.").Default("60s").DurationVar(&o.Duration)
-	c.Flag("nodes", "Number of node processes, 3 to 252; the first three have a disk.").Default("9").IntVar(&o.Nodes)
-	c.Flag("replicas", "Number of stand-in replicas.").Default("6").IntVar(&o.Replicas)
-	c.Flag("clients", "Number of clients, each with its own connection.").Default("48").IntVar(&o.Clients)
+	var o rehearsal.Options
+	flags := rehearsalFlags{
+		dir: ".fleet/soak", nodes: "9", clients: "48", nodeRangeHelp: "3 to 252",
+		durationHelp: "How long clients send requests; the last 20 seconds are without faults, for recovery.",
+	}
+	flags.addTo(c, &o)
 	cmds["soak"] = func(_ io.Reader, out io.Writer) error { return runSoak(o, out) }
 }
 
 // runSoak runs the soak test and reports its result.
-func runSoak(o rehearsal.SoakOptions, out io.Writer) error {
-	folder, err := openRehearsalFolder(o.Dir, soakLedgerFile)
-	if err != nil {
+func runSoak(o rehearsal.Options, out io.Writer) error {
+	if err := prepareRehearsal(&o, soakLedgerFile); err != nil {
 		return err
 	}
-	o.Dir, o.Ledger = folder.dir, folder.ledger
-	if o.Binary == "" {
-		o.Binary = folder.binary
-	}
 	r, err := rehearsal.RunSoak(o)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if r.DataRaces > 0 {
-		return trace.Wrap(&DataRaceError{N: r.DataRaces, Dir: o.Dir})
-	}
-	return printBreaches(out, soakCounts(r), r.Breaches)
+	return rehearsalResult{counts: soakCounts(r), breaches: r.Breaches, dataRaces: r.DataRaces}.report(out, o.Dir)
 }
 
 // soakCounts returns the counts of a soak test as text.
--- a/cmd/mallowbridge/standins.go
+++ b/cmd/mallowbridge/standins.go
@@ -127,6 +127,18 @@
 
 func (e *BreachError) Error() string { return fmt.Sprintf("%d breaches", e.N) }
 
+// printBreaches prints the breaches and then the counts. It returns a *BreachError if there is a breach.
+func printBreaches(out io.Writer, counts string, breaches []ledger.Breach) error {
+	for _, b := range breaches {
+		fmt.Fprintln(out, b)
+	}
+	fmt.Fprintf(out, "%s%d breaches\n", counts, len(breaches))
+	if len(breaches) > 0 {
+		return trace.Wrap(&BreachError{N: len(breaches)})
+	}
+	return nil
+}
+
 func addCheckCommand(app *kingpin.Application, cmds map[string]command) {
 	c := app.Command("check", "Check the ledgers of stand-in replicas and clients for breaches of the rules.")
 	runPattern := c.Flag("ran", "Glob pattern of the replicas' ledgers.").String()
--- a/standin/rehearsal/quotaoptions.go
+++ b/standin/rehearsal/quotaoptions.go
@@ -1,7 +1,6 @@
 package rehearsal
 
 import (
-	"io"
 	"time"
 
 	"github.com/mallowbridge/mallowbridge/ledger"
@@ -12,17 +11,9 @@
 
 // QuotaOptions configures a rehearsal of quotas.
 type QuotaOptions struct {
-	// Dir is the directory for the settings, disks and logs of the nodes. Binary is the path of the program that they run.
-	Dir, Binary string
-	// Seed seeds the generators of the faults, their times, the changes of the configuration, and the requests.
-	Seed uint64
-	// Duration is how long clients send requests.
-	Duration                 time.Duration
-	Nodes, Replicas, Clients int
+	Options
 	// NoFaults disables the faults of nodes and replicas, FixedConfiguration the changes of the configuration.
 	NoFaults, FixedConfiguration bool
-	// Ledger receives a JSON line for each request that a replica started to run.
-	Ledger io.Writer
 }
 
 // QuotaReport contains the counts and the breaches of a rehearsal of quotas.
--- a/standin/rehearsal/run.go
+++ b/standin/rehearsal/run.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"sync"
 	"syscall"
@@ -14,16 +13,8 @@
 
 // StreamOptions configures a rehearsal of streams.
 type StreamOptions struct {
-	// Dir is the directory for the settings, disks and logs of the nodes. Binary is the path of the program that they run.
-	Dir, Binary string
-	// Seed seeds the generators of the faults, their times, and the requests.
-	Seed uint64
-	// Duration is how long clients send requests.
-	Duration                 time.Duration
-	Nodes, Replicas, Clients int
-	Faults                   FaultRates
-	// Ledger receives a JSON line for each response.
-	Ledger io.Writer
+	Options
+	Faults FaultRates
 }
 
 // StreamReport contains the counts and the breaches of a rehearsal of streams.
--- a/standin/rehearsal/soak.go
+++ b/standin/rehearsal/soak.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -13,19 +12,6 @@
 	"github.com/mallowbridge/mallowbridge/ledger"
 )
 
-// SoakOptions configures a soak.
-type SoakOptions struct {
-	// Dir is the directory for the settings, disks and logs of the nodes. Binary is the path of the program that they run.
-	Dir, Binary string
-	// Seed seeds the generators of the faults, their times, the changes of the configuration, and the requests.
-	Seed uint64
-	// Duration is how long clients send requests. The faults end recoveryTime earlier.
-	Duration                 time.Duration
-	Nodes, Replicas, Clients int
-	// Ledger receives a JSON line for each request that a replica started to run and for each response.
-	Ledger io.Writer
-}
-
 // SoakReport contains the counts and the breaches of a soak.
 type SoakReport struct {
 	// Requests counts the requests that clients sent, Served those with a complete response with status 200, Rejected those with status 503, Failed
@@ -59,7 +45,7 @@
 
 // soak is the state of a running soak.
 type soak struct {
-	SoakOptions
+	Options
 	fleet    *Fleet
 	platform *Platform
 	routes   *soakRoutes
@@ -81,10 +67,10 @@
 }
 
 // RunSoak starts a platform and a fleet. Clients keep using their connections while nodes are killed, stopped, frozen and reloaded in overlapping
-// series, voters lose their disks, replicas cut their responses and crash, and operators change routes and evacuate zones, some of them through partitions. Then it checks what
-// happened against the rules of soaks.
-func RunSoak(o SoakOptions) (SoakReport, error) {
-	s := &soak{SoakOptions: o, runs: make(chan ReplicaRun, runBuffer), responses: make(chan soakResponse, runBuffer)}
+// series, voters lose their disks, replicas cut their responses and crash, and operators change routes and evacuate zones, some of them through
+// partitions. The faults end recoveryTime before the clients. Then it checks what happened against the rules of soaks.
+func RunSoak(o Options) (SoakReport, error) {
+	s := &soak{Options: o, runs: make(chan ReplicaRun, runBuffer), responses: make(chan soakResponse, runBuffer)}
 	s.routes = newSoakRoutes(s.newRand(routeStream))
 	var err error
 	faults := FaultRates{Reject: 0.04, Reset: 0.03, TruncateFIN: 0.04, TruncateReset: 0.04, TruncateFramed: 0.02}
