soak: SIGHUP waits until a node listens, and a node that ends unasked is a breach

Cause: the soak sent SIGHUP 200 ms after a process had started. On so slow a machine the process had not reached its main function (4 ms on an idle one), where SIGHUP is handled, and ended. A voter was gone from then on, and the soak removed the disk of a second one, which is more than the fleet has to bear. The product is not at fault. Change: the soak sends SIGHUP once the node listens, usually earlier than before; a process that ends unasked is a breach in all three rehearsals.

--- a/ledger/check.go
+++ b/ledger/check.go
@@ -53,6 +53,8 @@
 	ResponseLost = "answer lost at a shutdown"
 	// NotRecovered: most requests are still not served long after the last fault, or a control node can't be read.
 	NotRecovered = "not recovered"
+	// NodeExited: a node ended that nobody had told to.
+	NodeExited = "node exited"
 )
 
 // requestRuns are all runs of one request.
--- a/standin/rehearsal/faultinjector.go
+++ b/standin/rehearsal/faultinjector.go
@@ -65,6 +65,38 @@
 	// for a while.
 	synchronized bool
 	startedAt    time.Time
+	// opening are the kinds of the first faults of single nodes; the kinds after them are random.
+	opening []faultKind
+}
+
+// faultKind is a kind of fault of a single node.
+type faultKind int
+
+const (
+	freezeFault faultKind = iota
+	reloadFault
+	killFault
+	stopFault
+	frozenStopFault
+	faultKinds
+)
+
+// openWithAllKinds makes the injector's first faults those of single nodes, with each kind once in a random order, so that none is missing from a
+// short run on a slow machine.
+func (fi *faultInjector) openWithAllKinds() {
+	for _, kind := range fi.rng.Perm(int(faultKinds)) {
+		fi.opening = append(fi.opening, faultKind(kind))
+	}
+}
+
+// nextKind returns the kind of the next fault of a single node.
+func (fi *faultInjector) nextKind() faultKind {
+	if len(fi.opening) == 0 {
+		return faultKind(fi.rng.IntN(int(faultKinds)))
+	}
+	kind := fi.opening[0]
+	fi.opening = fi.opening[1:]
+	return kind
 }
 
 // over reports whether no further fault may start now.
@@ -144,7 +176,7 @@
 
 // failGroup freezes some nodes of a group at once, or makes one of them fail repeatedly.
 func (fi *faultInjector) failGroup(f *Fleet, first, size int) error {
-	if fi.rng.IntN(2) == 0 {
+	if len(fi.opening) == 0 && fi.rng.IntN(2) == 0 {
 		fi.freezeGroup(f, first, size)
 		return nil
 	}
@@ -181,19 +213,19 @@
 
 // failOnce injects one random fault into a node, and starts the node again if the fault ended its process.
 func (fi *faultInjector) failOnce(f *Fleet, node int) error {
-	switch fi.rng.IntN(5) {
-	case 0:
+	switch fi.nextKind() {
+	case freezeFault:
 		fi.counts.Freezes++
 		f.Freeze(node, time.Duration(fi.rng.Int64N(int64(maxFreeze))))
 		return nil
-	case 1:
+	case reloadFault:
 		fi.counts.Reloads++
 		f.Reload(node)
 		return nil
-	case 2:
+	case killFault:
 		fi.counts.Kills++
 		f.SignalAndWait(node, syscall.SIGKILL)
-	case 3:
+	case stopFault:
 		fi.counts.Stops++
 		f.SignalAndWait(node, syscall.SIGTERM)
 	default:
@@ -205,6 +237,7 @@
 
 // stopWhileFrozen sends SIGTERM to a node, freezes it for the first half of the grace time while it drains, and kills it at the end.
 func (f *Fleet) stopWhileFrozen(i int, grace time.Duration) {
+	f.nodes[i].mayExit.Store(true)
 	_ = f.nodes[i].process.Process.Signal(syscall.SIGTERM)
 	f.Freeze(i, grace/2)
 	time.Sleep(grace / 2)
--- a/standin/rehearsal/fleet.go
+++ b/standin/rehearsal/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,9 +25,9 @@
 	name, ip, settings string
 	voter              bool
 	process            *exec.Cmd
-	startedAt          time.Time
-	// exited is closed when the process has exited.
-	exited chan struct{}
+	// exited is closed when the process has exited. mayExit is set before it is told to exit.
+	exited  chan struct{}
+	mayExit *atomic.Bool
 	// pastFaults are the faults that are over. ongoingFault is the current fault, nil without one. Only the goroutine that injects faults into the
 	// node may use them.
 	pastFaults   []ledger.NodeFault
@@ -41,6 +42,7 @@
 	dir    string
 	binary string
 	nodes  []*node
+	exits  unexpectedExits
 }
 
 // FleetSizeError reports a number of nodes that a fleet can't have.
@@ -93,11 +95,13 @@
 		return err
 	}
 	n.endFault()
-	n.startedAt = time.Now()
-	process, exited := n.process, make(chan struct{})
-	n.exited = exited
+	process, exited, mayExit := n.process, make(chan struct{}), &atomic.Bool{}
+	n.exited, n.mayExit = exited, mayExit
 	go func() {
 		_ = process.Wait()
+		if !mayExit.Load() {
+			f.exits.add(n.name, process.ProcessState.String())
+		}
 		_ = log.Close()
 		close(exited)
 	}()
--- a/standin/rehearsal/fleetfaults.go
+++ b/standin/rehearsal/fleetfaults.go
@@ -1,6 +1,7 @@
 package rehearsal
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -35,6 +36,7 @@
 func (f *Fleet) SignalAndWait(i int, sig syscall.Signal) {
 	n := f.nodes[i]
 	n.beginFault(sig == syscall.SIGTERM)
+	n.mayExit.Store(true)
 	_ = n.process.Process.Signal(sig)
 	select {
 	case <-n.exited:
@@ -44,15 +46,30 @@
 	}
 }
 
-// handlerTime bounds the time until a new process handles signals. Until then, SIGHUP would terminate it.
-const handlerTime = 200 * time.Millisecond
-
-// Reload makes a node reload its settings with SIGHUP.
+// Reload makes a node reload its settings with SIGHUP, as soon as it listens: a process that has not reached its main function yet would end.
 func (f *Fleet) Reload(i int) {
-	time.Sleep(time.Until(f.nodes[i].startedAt.Add(handlerTime)))
+	f.awaitListening(i)
 	_ = f.nodes[i].process.Process.Signal(syscall.SIGHUP)
 }
 
+// awaitListening waits until a node accepts connections of operators, or has exited.
+func (f *Fleet) awaitListening(i int) {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(listenPollInterval) {
+		select {
+		case <-f.nodes[i].exited:
+			return
+		default:
+		}
+		if conn, err := net.DialTimeout("tcp", f.controlAddr(i), time.Second); err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+}
+
+// listenPollInterval is the time between two attempts to connect to a node that starts.
+const listenPollInterval = 5 * time.Millisecond
+
 // Freeze stops a node with SIGSTOP for a time and then lets it continue.
 func (f *Fleet) Freeze(i int, d time.Duration) {
 	n := f.nodes[i]
--- a/standin/rehearsal/quota.go
+++ b/standin/rehearsal/quota.go
@@ -137,7 +137,7 @@
 	r.report.Runs, r.report.DataRaces = len(r.recordedRuns), r.fleet.CountDataRaces()
 	r.report.CompliantRejectRatio = float64(r.withinLimitRejected) / float64(max(r.withinLimit, 1))
 	r.report.Windows = ledger.FullestWindows(r.recordedRuns, limits, quotaRule)
-	r.report.Breaches = ledger.CheckQuotas(r.report.Windows)
+	r.report.Breaches = append(ledger.CheckQuotas(r.report.Windows), r.fleet.exits.breaches()...)
 }
 
 // newRand returns the random generator of a stream. Each part of a rehearsal uses its own stream.
--- a/standin/rehearsal/run.go
+++ b/standin/rehearsal/run.go
@@ -82,6 +82,7 @@
 	r.fleet.Stop()
 	r.report.Revisions, r.report.Reads, r.report.DataRaces = operators.acknowledged.Load(), operators.reads.Load(), r.fleet.CountDataRaces()
 	r.report.Breaches = append(r.report.Breaches, ledger.CheckStreams(r.responses)...)
+	r.report.Breaches = append(r.report.Breaches, r.fleet.exits.breaches()...)
 	return r.report, err
 }
 
--- a/standin/rehearsal/soakcheck.go
+++ b/standin/rehearsal/soakcheck.go
@@ -25,6 +25,7 @@
 	s.report.DataRaces = s.fleet.CountDataRaces()
 	s.report.Breaches = append(s.report.Breaches, ledger.CheckSoak(record, soakRule)...)
 	s.report.Breaches = append(s.report.Breaches, s.checkRecovery()...)
+	s.report.Breaches = append(s.report.Breaches, s.fleet.exits.breaches()...)
 }
 
 // ledgerRuns converts the runs to rows of the ledger and writes them to it. It ignores write errors, because the verdict does not depend on the
