--- a/standin/rehearsal/fleetfaults.go
+++ b/standin/rehearsal/fleetfaults.go
@@ -48,23 +48,25 @@
 
 // Reload makes a node reload its settings with SIGHUP, as soon as it listens: a process that has not reached its main function yet would end.
 func (f *Fleet) Reload(i int) {
-	f.awaitListening(i)
-	_ = f.nodes[i].process.Process.Signal(syscall.SIGHUP)
+	if f.awaitListening(i) {
+		_ = f.nodes[i].process.Process.Signal(syscall.SIGHUP)
+	}
 }
 
-// awaitListening waits until a node accepts connections of operators, or has exited.
-func (f *Fleet) awaitListening(i int) {
+// awaitListening waits until a node accepts connections of operators, and reports whether it does.
+func (f *Fleet) awaitListening(i int) bool {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(listenPollInterval) {
 		select {
 		case <-f.nodes[i].exited:
-			return
+			return false
 		default:
 		}
 		if conn, err := net.DialTimeout("tcp", f.controlAddr(i), time.Second); err == nil {
 			_ = conn.Close()
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // listenPollInterval is the time between two attempts to connect to a node that starts.
