--- a/cmd/mallowbridge/main_test.go
+++ b/cmd/mallowbridge/main_test.go
@@ -34,7 +34,7 @@
 			return nil
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"await": await, "awaitmatch": awaitMatch, "config": writeConfig, "signal": sendSignal, "nodeconfig": nodeConfig, "awaitunready": awaitUnready,
+			"await": await, "operate": operate, "awaitmatch": awaitMatch, "config": writeConfig, "signal": sendSignal, "nodeconfig": nodeConfig, "awaitunready": awaitUnready,
 		},
 	})
 }
@@ -55,6 +55,20 @@
 	}
 }
 
+// operate runs an operator's command as exec does. It repeats it, for at most 60 s, while a node that the machine paused rejects it and says that
+// nothing was changed.
+func operate(ts *testscript.TestScript, neg bool, args []string) {
+	const paused = "this process was paused"
+	deadline := time.Now().Add(60 * time.Second)
+	err := ts.Exec(args[0], args[1:]...)
+	for err != nil && strings.Contains(ts.ReadFile("stderr"), paused) && time.Now().Before(deadline) {
+		err = ts.Exec(args[0], args[1:]...)
+	}
+	if neg != (err != nil) {
+		ts.Fatalf("%v: error %v", args, err)
+	}
+}
+
 // awaitMatch repeats a command until it succeeds and its output matches a pattern, or does not match if neg is set, for at most 60 s.
 func awaitMatch(ts *testscript.TestScript, neg bool, args []string) {
 	want := regexp.MustCompile(args[0])
