rehearsal: the test of an unasked exit does not depend on SIGHUP

Processes inherit that SIGHUP is ignored, and a shell can't undo it, so the script went on and ended with status 0. Now the script kills itself with SIGKILL.

--- a/standin/rehearsal/faults_test.go
+++ b/standin/rehearsal/faults_test.go
@@ -29,11 +29,11 @@
 
 // TestUnaskedExitIsABreach guards against a node that is gone without a fault, which would make the next fault one too many.
 func TestUnaskedExitIsABreach(t *testing.T) {
-	f := startScript(t, "kill -HUP $$")
+	f := startScript(t, "kill -KILL $$")
 	<-f.nodes[0].exited
 	found := f.exits.breaches()
-	if len(found) != 1 || found[0].Kind != ledger.NodeExited || found[0].Request != "n1" || found[0].Detail != "signal: hangup" {
-		t.Errorf("found %v, want that n1 exited by a hangup", found)
+	if len(found) != 1 || found[0].Kind != ledger.NodeExited || found[0].Request != "n1" || found[0].Detail != "signal: killed" {
+		t.Errorf("found %v, want that n1 was killed", found)
 	}
 }
 
